--- /dev/null
+++ b/crates/adapter/src/codec.rs
@@ -0,0 +1,370 @@
+//! Lines of the wire to messages, and actions to lines. Unknown names are skipped; what is malformed is an error.
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine as _;
+use chutegrade_policy::interface::*;
+use serde_json::Value;
+
+/// The table number that stands for all joined proxies in a level.
+const ALL_TABLES: u16 = 65535;
+
+/// Why a line could not be read, or an action not be written.
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum Fault {
+    /// A part that the message needs is absent.
+    #[error("{0}: no {1}")]
+    Missing(String, &'static str),
+    /// A part has a value that it cannot have.
+    #[error("{0}: bad {1} {2:?}")]
+    Bad(String, &'static str, String),
+    /// The settings are no JSON object.
+    #[error("settings: {0}")]
+    Settings(String),
+    /// An action carries a number that the wire has no form for.
+    #[error("action not sendable: {0}")]
+    Action(String),
+}
+
+/// One line of a batch.
+#[derive(Debug, PartialEq)]
+pub enum Message {
+    /// A batch begins: its clock and number.
+    Frame(Micros, u64),
+    /// The batch is complete.
+    Turn,
+    /// What follows belongs to this instance.
+    At(u32),
+    /// The instance starts.
+    Begin(u64, Box<Settings>),
+    /// The instance was killed.
+    Teardown,
+    /// A list of so many rows follows.
+    List(ListKind, usize),
+    /// A row of a list.
+    Row(Entry),
+    /// An event as the decisions know it.
+    Event(Event),
+    /// A message this version does not know.
+    Unknown,
+}
+
+struct Parts<'a> {
+    line: &'a str,
+    tag: &'a str,
+}
+
+impl<'a> Parts<'a> {
+    fn text(&self, key: &'static str) -> Result<&'a str, Fault> {
+        self.find(key).ok_or_else(|| Fault::Missing(self.tag.to_string(), key))
+    }
+    fn find(&self, key: &str) -> Option<&'a str> {
+        self.line.split('\t').skip(1).find_map(|part| part.strip_prefix(key)?.strip_prefix('='))
+    }
+    fn bad(&self, key: &'static str, text: &str) -> Fault {
+        Fault::Bad(self.tag.to_string(), key, text.chars().take(40).collect())
+    }
+    fn parse<T: std::str::FromStr>(&self, key: &'static str) -> Result<T, Fault> {
+        let text = self.text(key)?;
+        text.parse().map_err(|_| self.bad(key, text))
+    }
+    fn number(&self, key: &'static str) -> Result<f64, Fault> {
+        let value: f64 = self.parse(key)?;
+        if value.is_finite() {
+            Ok(value)
+        } else {
+            Err(self.bad(key, &value.to_string()))
+        }
+    }
+    fn count(&self, key: &'static str) -> Result<f64, Fault> {
+        let value = self.number(key)?;
+        if value >= 0.0 {
+            Ok(value)
+        } else {
+            Err(self.bad(key, &value.to_string()))
+        }
+    }
+    fn time(&self, key: &'static str) -> Result<Micros, Fault> {
+        self.number(key).map(Micros::from_ms)
+    }
+    fn flag(&self, key: &'static str) -> Result<bool, Fault> {
+        self.parse::<u8>(key).map(|value| value != 0)
+    }
+    fn word<T: Copy>(&self, key: &'static str, words: &[(&str, T)]) -> Result<T, Fault> {
+        let text = self.text(key)?;
+        words
+            .iter()
+            .find(|(word, _)| *word == text)
+            .map(|(_, value)| *value)
+            .ok_or_else(|| self.bad(key, text))
+    }
+    fn load(&self) -> Load {
+        load(self.find("healthInfo").unwrap_or(""))
+    }
+    fn server(&self) -> Result<ServerId, Fault> {
+        self.parse("server").map(ServerId)
+    }
+    fn proxy(&self) -> Result<ProxyId, Fault> {
+        self.parse("clientLb").map(ProxyId)
+    }
+    fn zone(&self) -> Result<ZoneId, Fault> {
+        self.parse("locality").map(ZoneId)
+    }
+    fn table(&self) -> Result<TableId, Fault> {
+        self.parse("mapId").map(TableId)
+    }
+}
+
+fn load(text: &str) -> Load {
+    let mut load = Load::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once(':')) {
+        let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0) else {
+            continue;
+        };
+        match name.trim() {
+            "inflight" => load.inflight = Some(value),
+            "queue" => load.queue = Some(value),
+            "util" => load.util = Some(value),
+            "latency_ms" => load.latency_ms = Some(value),
+            "qps" => load.qps = Some(value),
+            "eps" => load.eps = Some(value),
+            _ => {}
+        }
+    }
+    load
+}
+
+/// Reads one line.
+pub fn parse(line: &str) -> Result<Message, Fault> {
+    let tag = line.split('\t').next().unwrap_or("");
+    let p = Parts { line, tag };
+    let event = match tag {
+        "frame" => return Ok(Message::Frame(p.time("atTimeMs")?, p.parse("frame")?)),
+        "your_turn" => return Ok(Message::Turn),
+        "at" => return Ok(Message::At(p.parse("supervisor")?)),
+        "begin" => {
+            let start = line.find("\tenv=").ok_or_else(|| Fault::Missing(tag.to_string(), "env"))?;
+            return Ok(Message::Begin(p.parse("nonce64")?, Box::new(settings(&line[start + 5..])?)));
+        }
+        "teardown" => return Ok(Message::Teardown),
+        "discovery" => {
+            let kinds = [
+                ("incr", ListKind::Changes),
+                ("total", ListKind::Complete),
+                ("warm_copy", ListKind::WarmCopy),
+                ("lost", ListKind::Lost),
+            ];
+            let rows = if p.find("rows").is_some() { p.parse("rows")? } else { 0 };
+            return Ok(Message::List(p.word("how", &kinds)?, rows));
+        }
+        "row" => return entry(&p).map(Message::Row),
+        "usage" => Event::Usage {
+            proxy: p.proxy()?,
+            class: ClassId(p.parse("profile")?),
+            came: p.count("total")?,
+            failed: p.count("bad")?,
+            period: p.time("periodLenMs")?,
+        },
+        "key_load" => Event::SliceUsage {
+            table: p.table()?,
+            class: ClassId(p.parse("profile")?),
+            came: p.count("total")?,
+            failed: p.count("bad")?,
+            period: p.time("periodLenMs")?,
+        },
+        "receipt" => Event::Receipt { proxy: p.proxy()?, mark: p.parse("gen")?, took: p.time("costTimeMs")? },
+        "health" => {
+            let ends = [
+                ("done", ProbeEnd::Done),
+                ("err", ProbeEnd::Error),
+                ("busy", ProbeEnd::Busy),
+                ("etimedout", ProbeEnd::TimedOut),
+                ("econnrefused", ProbeEnd::Unreachable),
+                ("econnreset", ProbeEnd::Unreachable),
+            ];
+            let end = p.word("ending", &ends).unwrap_or(ProbeEnd::Other);
+            Event::Probed { server: p.server()?, end, took: p.time("costTimeMs")?, load: p.load() }
+        }
+        "tenure" => Event::Tenure { table: p.table()?, given: p.flag("active")? },
+        "held" => Event::Held { table: p.table()?, server: p.server()?, weight: p.count("weight")? },
+        "tally" => Event::Heard {
+            zone: p.zone()?,
+            server: p.server()?,
+            tries: p.count("total")?,
+            failed: p.count("bad")?,
+            mean_ms: p.count("costTimeMs")?,
+            period: p.time("periodLenMs")?,
+            load: p.load(),
+        },
+        "lost_stream" => Event::Left(p.proxy()?),
+        "joined" => Event::Joined { proxy: p.proxy()?, zone: p.zone()?, rate: p.count("weight")? },
+        "whisper" => {
+            let text = p.text("contents")?;
+            let data = if text == "-" { Ok(Vec::new()) } else { STANDARD.decode(text) };
+            Event::Peer { from: p.parse("from")?, data: data.map_err(|_| p.bad("contents", text))? }
+        }
+        "ring" => Event::Timer(p.parse("handle")?),
+        _ => return Ok(Message::Unknown),
+    };
+    Ok(Message::Event(event))
+}
+
+fn entry(p: &Parts) -> Result<Entry, Fault> {
+    let lives = [
+        ("in_service", Lifecycle::InService),
+        ("terminating", Lifecycle::Draining),
+        ("terminated", Lifecycle::Gone),
+    ];
+    let optional = |key: &'static str| if p.find(key).is_some() { p.count(key) } else { Ok(0.0) };
+    let started = optional("upSinceMs")?;
+    Ok(Entry {
+        server: p.server()?,
+        zone: ZoneId(optional("locality")? as u16),
+        kind: optional("familyType")? as u32,
+        cell: optional("cluster")? as u32,
+        life: p.word("lifecycle", &lives)?,
+        weight: if p.find("weight").is_some() { p.count("weight")? } else { 1.0 },
+        started: (started > 0.0).then(|| Micros::from_ms(started)),
+    })
+}
+
+/// The settings' JSON text; a key that is absent or of another type reads as nothing, no limit or not allowed.
+fn settings(text: &str) -> Result<Settings, Fault> {
+    let json: Value = serde_json::from_str(text).map_err(|fault| Fault::Settings(fault.to_string()))?;
+    if !json.is_object() {
+        return Err(Fault::Settings("no object".to_string()));
+    }
+    let at = |path: &str| json.pointer(path);
+    let num = |path: &str| at(path).and_then(Value::as_f64).unwrap_or(0.0);
+    let ms = |path: &str| Micros::from_ms(num(path));
+    let flag = |path: &str| at(path).and_then(Value::as_bool).unwrap_or(false);
+    let word = |path: &str| at(path).and_then(Value::as_str).unwrap_or("");
+    let home_only = |class: usize| flag(&format!("/familyInfo/homeOnly/{class}"));
+    let classes = at("/classes").and_then(Value::as_array).map(Vec::as_slice).unwrap_or(&[]);
+    Ok(Settings {
+        instances: num("/peersTotal") as usize,
+        zones: at("/zones").and_then(Value::as_array).map_or(0, Vec::len),
+        zone: ZoneId(num("/locality") as u16),
+        classes: classes.iter().enumerate().map(|(k, class)| class_of(class, home_only(k))).collect(),
+        proxies: num("/familyInfo/proxies") as usize,
+        slices: num("/familyInfo/shards") as usize,
+        sole_owner: flag("/familyInfo/soleOwner"),
+        lease: ms("/familyInfo/tenureMs"),
+        settle: ms("/familyInfo/inFlightMaxMs"),
+        list_on_request: word("/discovery") == "subscribe",
+        ask_every: ms("/guarantees/askEveryMs"),
+        levels: match word("/familyInfo/levelKind") {
+            "fraction" => LevelKind::Fraction,
+            "per_second" => LevelKind::PerSecond,
+            _ => LevelKind::Silent,
+        },
+        usual_retry: retry(num("/familyInfo/usualHow")),
+        first_wait: num("/familyInfo/firstWait"),
+        pick: match word("/familyInfo/pick") {
+            "rotate" => Pick::Rotate,
+            "p2c" => Pick::LeastOfTwo,
+            _ => Pick::Random,
+        },
+        proxy_ejects_after: num("/familyInfo/outlierAfter") as u32,
+        listed: match word("/weights") {
+            "nominal" => Listed::Nominal,
+            "rough" => Listed::Rough,
+            "live" => Listed::Live,
+            _ => Listed::Silent,
+        },
+        reports: match word("/report/source") {
+            "piggyback" => ReportSource::Answers,
+            "pull" => ReportSource::Probes,
+            _ => ReportSource::None,
+        },
+        report_period: ms("/familyInfo/cycleMs"),
+        probes: flag("/limits/probes"),
+        probe_price: num("/prices/probe"),
+        cross_price: num("/prices/crossZone"),
+        backlog: num("/familyInfo/backlog"),
+        lines_per_s: num("/familyInfo/linesPerS"),
+        message_head: num("/familyInfo/fixedCost"),
+        way_most: ms("/familyInfo/pushDelayMaxMs"),
+        messages_most: num("/familyInfo/messagesMost") as usize,
+        messages_window: ms("/familyInfo/updateWindowMs"),
+        unserved_most: ms("/familyInfo/unservedMaxMs"),
+        drain_grace: ms("/guarantees/drainGraceMs"),
+        drain_binds_alone: flag("/guarantees/drainBindsAlone"),
+        cold_from: num("/guarantees/coldFrom"),
+        cold_for: ms("/guarantees/coldMs"),
+        fall_multiple: num("/guarantees/fallMultiple"),
+        fall_window: ms("/guarantees/overloadForMs"),
+    })
+}
+
+fn class_of(json: &Value, home_only: bool) -> Class {
+    let num = |key: &str| json.get(key).and_then(Value::as_f64).unwrap_or(0.0);
+    let word = |key: &str| json.get(key).and_then(Value::as_str).unwrap_or("");
+    let scope = match word("dedupScope") {
+        "zone" => Scope::Zone,
+        "cell" => Scope::Cell,
+        _ => Scope::All,
+    };
+    Class {
+        aim: Micros::from_ms(num("aimMs")),
+        deadline: Micros::from_ms(num("hardLimitMs")),
+        worth: num("worth"),
+        effect: match word("effect") {
+            "read_like" => Effect::Safe,
+            "idempotency_key" => Effect::Keyed(scope, Micros::from_ms(num("windowMs"))),
+            _ => Effect::Unsafe,
+        },
+        home_only,
+    }
+}
+
+fn retry(how: f64) -> Retry {
+    match how as i64 {
+        1 => Retry::Unrun,
+        2 => Retry::Once,
+        3 => Retry::Twice,
+        _ => Retry::Never,
+    }
+}
+
+fn amount(value: f64) -> Result<f64, Fault> {
+    if value.is_finite() && value >= 0.0 {
+        Ok(value)
+    } else {
+        Err(Fault::Action(value.to_string()))
+    }
+}
+
+/// Writes one action as a line, without its end.
+pub fn write(action: &Action) -> Result<String, Fault> {
+    let bit = u8::from;
+    Ok(match action {
+        Action::Line { table, server, weight } => {
+            format!("endpoint\tmapId={}\tserver={}\tweight={}", table.0, server.0, amount(*weight)?)
+        }
+        Action::Clear(table) => format!("wipe\tmapId={}", table.0),
+        Action::Bind { proxy, table, classes } => {
+            format!("point\tclientLb={}\tmapId={}\tclassBits={}", proxy.0, table.0, classes.0)
+        }
+        Action::Withdraw { server, out } => format!("suspend\tserver={}\tactive={}", server.0, bit(*out)),
+        Action::Admit { table, classes, level, retry } => format!(
+            "allow\tallowance={}\tclassBits={}\tmapId={}\tsecondTry={}",
+            amount(*level)?,
+            classes.0,
+            table.map_or(ALL_TABLES, |t| t.0),
+            *retry as u8
+        ),
+        Action::Mark { mark, everyone } => format!("ask_receipt\tgen={mark}\tactive={}", bit(*everyone)),
+        Action::Probe(server) => format!("ping\tserver={}", server.0),
+        Action::Subscribe(on) => format!("subscribe\tactive={}", bit(*on)),
+        Action::FetchList => "list_all".to_string(),
+        Action::Timer { id, after } => {
+            format!("arm\thandle={id}\tfromNowMs={}", after.0.max(0) as f64 / 1000.0)
+        }
+        Action::Tell { peer, data } => {
+            let to = peer.map_or("all".to_string(), |p| p.to_string());
+            let contents = if data.is_empty() { "-".to_string() } else { STANDARD.encode(data) };
+            format!("notify\trecipient={to}\tcontents={contents}")
+        }
+        Action::Log(text) => format!("write_log\twhat={}", text.replace(['\n', '\r', '\t'], " ")),
+    })
+}
--- /dev/null
+++ b/crates/policy/src/interface.rs
@@ -0,0 +1,489 @@
+//! The vocabulary between the decision module and whatever protocol stands before it: the settings it starts
+//! with, the events it takes in and the actions it gives back. Plain data only; nothing here decides anything.
+
+/// A point in time or a length of time, in microseconds. Points count from an arbitrary start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Micros(pub i64);
+
+impl Micros {
+    /// A length given in milliseconds; what is no number counts as none.
+    pub fn from_ms(ms: f64) -> Self {
+        Micros((ms * 1000.0) as i64)
+    }
+    /// The length in seconds.
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+}
+
+impl std::ops::Add for Micros {
+    type Output = Micros;
+    fn add(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_add(other.0))
+    }
+}
+
+impl std::ops::Sub for Micros {
+    type Output = Micros;
+    fn sub(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_sub(other.0))
+    }
+}
+
+/// A server, by an id that carries no meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerId(pub u32);
+/// A proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProxyId(pub u32);
+/// A zone: a position in the deployment's list of zones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u16);
+/// A table of servers and weights, or a slice where keys fall into slices.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TableId(pub u16);
+/// A class of requests: a position in [`Settings::classes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassId(pub u8);
+
+/// A set of classes, one bit for each position.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClassSet(pub u32);
+
+impl ClassSet {
+    /// The set with one more class.
+    #[must_use]
+    pub fn with(self, class: usize) -> Self {
+        ClassSet(self.0 | 1u32.checked_shl(class as u32).unwrap_or(0))
+    }
+    /// Whether the class is in the set.
+    pub fn has(self, class: usize) -> bool {
+        self.0 & 1u32.checked_shl(class as u32).unwrap_or(0) != 0
+    }
+}
+
+/// What a second run of a request would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing more than the first.
+    Safe,
+    /// Dropped as a repeat by the servers of the scope, for this long after the first try was sent.
+    Keyed(Scope, Micros),
+    /// The effect would happen twice.
+    Unsafe,
+}
+
+/// The servers among which a repeat is recognised.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All servers.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// When proxies try again at another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Retry {
+    /// Never.
+    Never,
+    /// Once, after proof that the first try did not run.
+    Unrun,
+    /// Once, after any failure.
+    Once,
+    /// Twice, after any failure.
+    Twice,
+}
+
+/// How a level of admission is understood.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LevelKind {
+    /// The admitted share of what comes.
+    Fraction,
+    /// Requests per second at each proxy.
+    PerSecond,
+    /// Levels are ignored; only retry orders are followed.
+    Silent,
+}
+
+/// How a proxy chooses among the lines of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// At random, by weight.
+    Random,
+    /// Evenly in turn, by weight.
+    Rotate,
+    /// Of two drawn by weight, the one with fewer of the proxy's own requests.
+    LeastOfTwo,
+}
+
+/// What a listed weight tells of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// Nothing.
+    Silent,
+    /// Its registered capacity.
+    Nominal,
+    /// Its approximate size, whatever the speed of its parts.
+    Rough,
+    /// Its size divided by its recent load.
+    Live,
+}
+
+/// Where load reports come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportSource {
+    /// With tallies and probe results.
+    Answers,
+    /// With probe results only.
+    Probes,
+    /// There are none.
+    None,
+}
+
+/// A class of requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Class {
+    /// Answers within this time earn the full worth.
+    pub aim: Micros,
+    /// The client gives up after this time, all tries counted.
+    pub deadline: Micros,
+    /// What an answer in time is worth.
+    pub worth: f64,
+    /// What a second run would do.
+    pub effect: Effect,
+    /// Served only by servers in the proxy's own zone.
+    pub home_only: bool,
+}
+
+/// The settings an instance starts with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Number of instances in the deployment, this one included.
+    pub instances: usize,
+    /// Number of zones.
+    pub zones: usize,
+    /// The zone in which this instance stands.
+    pub zone: ZoneId,
+    /// The classes of requests.
+    pub classes: Vec<Class>,
+    /// Number of proxies across all instances.
+    pub proxies: usize,
+    /// Number of slices; without slices tables are the instance's own.
+    pub slices: usize,
+    /// A slice has a single owner.
+    pub sole_owner: bool,
+    /// How long a proxy that lost its stream goes on sending writes to the owner it knows.
+    pub lease: Micros,
+    /// The longest time a write stays in hand at a server.
+    pub settle: Micros,
+    /// The list of servers comes only when asked for.
+    pub list_on_request: bool,
+    /// How often a list on request must be asked for by an instance without a subscription.
+    pub ask_every: Micros,
+    /// How levels are understood.
+    pub levels: LevelKind,
+    /// The retry order in force where none was given.
+    pub usual_retry: Retry,
+    /// A try that may be followed waits this multiple of the aim.
+    pub first_wait: f64,
+    /// How proxies choose among lines.
+    pub pick: Pick,
+    /// A proxy avoids a server after this many failures of its own in a row; 0: never.
+    pub proxy_ejects_after: u32,
+    /// What listed weights tell.
+    pub listed: Listed,
+    /// Where load reports come from.
+    pub reports: ReportSource,
+    /// Interval at which reports are gathered.
+    pub report_period: Micros,
+    /// Probes are allowed.
+    pub probes: bool,
+    /// Points of service each probe for each request costs.
+    pub probe_price: f64,
+    /// Points of service each zone crossing for each request costs.
+    pub cross_price: f64,
+    /// Lines allowed to wait in the channel, headers included.
+    pub backlog: f64,
+    /// Lines a second the channel sends usually.
+    pub lines_per_s: f64,
+    /// Lines each message costs beside its own.
+    pub message_head: f64,
+    /// The longest way of a message from the channel to the proxy.
+    pub way_most: Micros,
+    /// Messages that may be written to one proxy within the window; 0: any number.
+    pub messages_most: usize,
+    /// The window for that count.
+    pub messages_window: Micros,
+    /// The longest time a proxy may be without a server to pick.
+    pub unserved_most: Micros,
+    /// The time within which sending to a draining server must end.
+    pub drain_grace: Micros,
+    /// A server dropped from the list without having drained may stay in tables.
+    pub drain_binds_alone: bool,
+    /// The least share of its capacity a server starts with.
+    pub cold_from: f64,
+    /// The time after which a started server is warm.
+    pub cold_for: Micros,
+    /// A cold server falls over at more than this multiple of what it can do.
+    pub fall_multiple: f64,
+    /// The time over which that multiple is counted.
+    pub fall_window: Micros,
+}
+
+/// What the list says of a server's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifecycle {
+    /// Open to requests.
+    InService,
+    /// Completing its work; nothing new may be sent.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// One entry of the list of servers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Entry {
+    /// The server.
+    pub server: ServerId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its machine kind, an index without meaning.
+    pub kind: u32,
+    /// Its cell.
+    pub cell: u32,
+    /// Its life.
+    pub life: Lifecycle,
+    /// Its listed weight.
+    pub weight: f64,
+    /// Its latest start, if that is not long ago.
+    pub started: Option<Micros>,
+}
+
+/// How a delivery of the list is to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed entries only.
+    Changes,
+    /// The complete list.
+    Complete,
+    /// The complete list as last held, possibly stale.
+    WarmCopy,
+    /// A call or the subscription failed; the list stays as it was.
+    Lost,
+}
+
+/// A load report; what a deployment does not report is absent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests being handled.
+    pub inflight: Option<f64>,
+    /// Requests waiting.
+    pub queue: Option<f64>,
+    /// Share of the cores in use.
+    pub util: Option<f64>,
+    /// Recent service time, without waiting, in milliseconds.
+    pub latency_ms: Option<f64>,
+    /// Requests served per second.
+    pub qps: Option<f64>,
+    /// Errors per second.
+    pub eps: Option<f64>,
+}
+
+/// How a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeEnd {
+    /// Answered.
+    Done,
+    /// Answered with an error.
+    Error,
+    /// Turned away: the server drains or answers too many probes.
+    Busy,
+    /// No answer in time.
+    TimedOut,
+    /// The connection was refused or broke.
+    Unreachable,
+    /// An ending that says nothing of the server.
+    Other,
+}
+
+/// What an instance can learn.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// News of the list of servers.
+    Members(ListKind, Vec<Entry>),
+    /// A proxy's stream to this instance stands; `rate` is its usual traffic in requests per second.
+    Joined {
+        /** The proxy. */
+        proxy: ProxyId,
+        /** Its zone. */
+        zone: ZoneId,
+        /** Its traffic. */
+        rate: f64,
+    },
+    /// A proxy's stream broke; it goes on with what it holds.
+    Left(ProxyId),
+    /// What the joined proxies of a zone met at a server.
+    Heard {
+        /** Zone of the proxies. */
+        zone: ZoneId,
+        /** The server. */
+        server: ServerId,
+        /** Tries that ended. */
+        tries: f64,
+        /** Those without a good answer. */
+        failed: f64,
+        /** Mean time of the good ones, in milliseconds; 0 if none. */
+        mean_ms: f64,
+        /** Time over which it was counted. */
+        period: Micros,
+        /** Newest load report. */
+        load: Load,
+    },
+    /// Requests of a class that came to a proxy.
+    Usage {
+        /** The proxy. */
+        proxy: ProxyId,
+        /** The class. */
+        class: ClassId,
+        /** Requests that came. */
+        came: f64,
+        /** Admitted ones without an answer. */
+        failed: f64,
+        /** Time over which it was counted. */
+        period: Micros,
+    },
+    /// Requests of a class that came for a slice.
+    SliceUsage {
+        /** The slice. */
+        table: TableId,
+        /** The class. */
+        class: ClassId,
+        /** Requests that came. */
+        came: f64,
+        /** Admitted ones without an answer. */
+        failed: f64,
+        /** Time over which it was counted. */
+        period: Micros,
+    },
+    /// A slice was put in this instance's charge, or taken from it.
+    Tenure {
+        /** The slice. */
+        table: TableId,
+        /** Given or taken. */
+        given: bool,
+    },
+    /// One line of a slice's table, as stored.
+    Held {
+        /** The slice. */
+        table: TableId,
+        /** The server. */
+        server: ServerId,
+        /** Its weight. */
+        weight: f64,
+    },
+    /// A proxy has applied the message that carried this mark.
+    Receipt {
+        /** The proxy. */
+        proxy: ProxyId,
+        /** The mark. */
+        mark: u16,
+        /** Order to effect. */
+        took: Micros,
+    },
+    /// The result of a probe.
+    Probed {
+        /** The server. */
+        server: ServerId,
+        /** How it ended. */
+        end: ProbeEnd,
+        /** Time since it was sent. */
+        took: Micros,
+        /** Load report, if one came with it. */
+        load: Load,
+    },
+    /// A message of another instance.
+    Peer {
+        /** The sender. */
+        from: u32,
+        /** The payload. */
+        data: Vec<u8>,
+    },
+    /// A timer came due.
+    Timer(u32),
+}
+
+/// What an instance can order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Sets a line of a table; weight 0 removes it.
+    Line {
+        /** The table. */
+        table: TableId,
+        /** The server. */
+        server: ServerId,
+        /** The weight. */
+        weight: f64,
+    },
+    /// Removes all lines and levels of a table.
+    Clear(TableId),
+    /// Puts a joined proxy on a table for some classes.
+    Bind {
+        /** The proxy. */
+        proxy: ProxyId,
+        /** The table. */
+        table: TableId,
+        /** The classes. */
+        classes: ClassSet,
+    },
+    /// Shuts a server out of all tables of joined proxies, or lets it in again.
+    Withdraw {
+        /** The server. */
+        server: ServerId,
+        /** Out or in. */
+        out: bool,
+    },
+    /// Sets the level and retry order of classes in a table, or for all joined proxies without one.
+    Admit {
+        /** The table; none: all joined proxies. */
+        table: Option<TableId>,
+        /** The classes. */
+        classes: ClassSet,
+        /** The level. */
+        level: f64,
+        /** The retry order. */
+        retry: Retry,
+    },
+    /// Asks each proxy reached by this turn's orders for a receipt.
+    Mark {
+        /** The number to echo. */
+        mark: u16,
+        /** Reach all joined proxies. */
+        everyone: bool,
+    },
+    /// Probes a server.
+    Probe(ServerId),
+    /// Asks for changes of the list from now on, or no more.
+    Subscribe(bool),
+    /// Asks for the complete list once.
+    FetchList,
+    /// Asks for a timer.
+    Timer {
+        /** The number to return. */
+        id: u32,
+        /** Time from now. */
+        after: Micros,
+    },
+    /// Sends a message to another instance, or to all.
+    Tell {
+        /** The receiver; none: all. */
+        peer: Option<u32>,
+        /** The payload. */
+        data: Vec<u8>,
+    },
+    /// A line for the operators.
+    Log(String),
+}
--- /dev/null
+++ b/crates/policy/tests/rules.rs
@@ -0,0 +1,239 @@
+//! The five rules, each kept by one instance alone.
+
+mod common;
+use std::collections::BTreeSet;
+
+use chutegrade_policy::interface::*;
+use common::*;
+use proptest::prelude::*;
+
+#[test]
+fn a_joining_proxy_is_bound_at_once_to_a_table_that_has_lines() {
+    let world = World::new(settings(), 6, 3);
+    assert_eq!(world.bound.len(), 3);
+    let first_bind = world.actions.iter().position(|a| matches!(a, Action::Bind { .. }));
+    let last_line = world.actions.iter().rposition(|a| matches!(a, Action::Line { .. }));
+    assert!(last_line < first_bind, "lines in a table that nobody uses cost nothing");
+    assert_eq!(world.tables[&TableId(0)].len(), 6);
+}
+
+#[test]
+fn a_whole_failing_fleet_keeps_lines() {
+    let mut world = World::new(settings(), 6, 3);
+    world.run(5, &healthy(6, &[]));
+    for bad in 1..=6 {
+        let events: Vec<Event> =
+            (0..6).map(|id| heard(id, 8.0, if id < bad { 8.0 } else { 0.0 }, 200.0)).collect();
+        world.run(6, &events);
+        assert!((0..6).any(|id| world.weight(id) > 0.0), "{bad} of 6 failing");
+    }
+}
+
+#[test]
+fn home_only_classes_get_their_zone_s_servers_alone() {
+    let mut with_home = settings();
+    with_home.classes.push(class(Effect::Unsafe, true));
+    let world = World::new(with_home, 6, 2);
+    for proxy in 0..2u32 {
+        let bound = &world.bound[&ProxyId(proxy)];
+        let table = bound.iter().find(|(_, classes)| classes.has(2)).map(|(table, _)| *table).expect("bound");
+        assert!(!world.tables[&table].is_empty());
+        assert!(world.tables[&table].keys().all(|server| server.0 % 2 == proxy));
+    }
+}
+
+#[test]
+fn an_empty_change_and_a_lost_list_withdraw_nothing() {
+    let mut world = World::new(settings(), 6, 3);
+    world.send(&[Event::Members(ListKind::Changes, vec![]), Event::Members(ListKind::Lost, vec![])]);
+    assert!((0..6).all(|id| world.weight(id) == 4.0));
+}
+
+#[test]
+fn retry_orders_follow_the_effect() {
+    let mut many = settings();
+    many.classes = vec![
+        class(Effect::Safe, false),
+        class(Effect::Unsafe, false),
+        class(Effect::Keyed(Scope::All, ms(10_000)), false),
+        class(Effect::Keyed(Scope::Zone, ms(10_000)), false),
+        class(Effect::Keyed(Scope::Cell, ms(10_000)), false),
+        class(Effect::Keyed(Scope::All, ms(100)), false),
+        class(Effect::Unsafe, true),
+    ];
+    let mut world = World::new(many, 6, 3);
+    world.run(5, &healthy(6, &[]));
+    for class in [1, 3, 4, 5, 6] {
+        assert!(world.retries[&class] <= Retry::Unrun, "class {class}");
+    }
+    assert_eq!(world.retries.len(), 7);
+}
+
+#[test]
+fn a_draining_or_removed_server_is_shut_out_at_once() {
+    let mut world = World::new(settings(), 6, 3);
+    world.run(3, &healthy(6, &[]));
+    let draining = Entry { life: Lifecycle::Draining, ..entry(2) };
+    let actions = world.send(&[Event::Members(ListKind::Changes, vec![draining])]);
+    assert!(actions.contains(&Action::Withdraw { server: ServerId(2), out: true }));
+    let complete: Vec<Entry> = (0..6).filter(|id| *id != 2 && *id != 4).map(entry).collect();
+    let actions = world.send(&[Event::Members(ListKind::Complete, complete)]);
+    assert!(actions.contains(&Action::Withdraw { server: ServerId(4), out: true }));
+    world.run(5, &healthy(6, &[2, 4]));
+    assert!(world.weight(2) == 0.0 && world.weight(4) == 0.0);
+    let back = Entry { started: Some(world.now), ..entry(2) };
+    world.send(&[Event::Members(ListKind::Changes, vec![back])]);
+    assert!(!world.shut.contains(&ServerId(2)));
+}
+
+#[test]
+fn a_draining_server_in_the_warm_copy_is_shut_out_from_the_first_message() {
+    let mut policy = chutegrade_policy::policy::Policy::new(settings(), 1);
+    let mut list: Vec<Entry> = (0..4).map(entry).collect();
+    list[1].life = Lifecycle::Draining;
+    let actions = policy.handle(ms(5), &[Event::Members(ListKind::WarmCopy, list), joined(0)]);
+    assert!(!actions
+        .iter()
+        .any(|a| matches!(a, Action::Line { server: ServerId(1), weight, .. } if *weight > 0.0)));
+    assert!(actions.iter().any(|a| matches!(a, Action::Bind { .. })));
+}
+
+#[test]
+fn a_restarted_server_s_part_stays_far_under_what_pushes_it_over() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(5, &healthy(8, &[]));
+    let started = world.now;
+    world.send(&[Event::Members(ListKind::Changes, vec![Entry { started: Some(started), ..entry(3) }])]);
+    for _ in 0..16 {
+        let total: f64 = (0..8).map(|id| world.weight(id)).sum();
+        let age = (world.now - started).secs();
+        let warmth = 0.2 + 0.8 * (age + 1.0) / 16.0;
+        // All of the fleet's capacity as demand; the multiple is 3.
+        let load = world.weight(3) / total * 8.0;
+        assert!(load <= 0.6 * 3.0 * warmth, "age {age}: load {load} warmth {warmth}");
+        world.run(1, &healthy(8, &[]));
+    }
+    world.run(8, &healthy(8, &[]));
+    assert!(world.weight(3) >= 3.6, "weight {}", world.weight(3));
+}
+
+#[test]
+fn a_sole_owner_is_replaced_only_after_no_proxy_can_write_to_it() {
+    let mut sliced = settings();
+    (sliced.slices, sliced.sole_owner) = (4, true);
+    let mut world = World::new(sliced, 4, 3);
+    world.send(&[
+        Event::Tenure { table: TableId(2), given: true },
+        Event::Held { table: TableId(2), server: ServerId(1), weight: 1.0 },
+    ]);
+    let gone = Entry { life: Lifecycle::Gone, ..entry(1) };
+    let actions = world.send(&[Event::Members(ListKind::Changes, vec![gone])]);
+    assert!(actions.contains(&Action::Clear(TableId(2))));
+    let mark =
+        actions.iter().find_map(|a| if let Action::Mark { mark, .. } = a { Some(*mark) } else { None });
+    let mark = mark.expect("the clearing is marked");
+    let line = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Line { .. }));
+    world.actions.clear();
+    world.run(5, &[]);
+    assert!(!line(&world.actions), "not before the proxies answered");
+    let took = ms(200);
+    world.send(&[
+        Event::Receipt { proxy: ProxyId(0), mark, took },
+        Event::Receipt { proxy: ProxyId(1), mark, took },
+    ]);
+    world.send(&[Event::Left(ProxyId(2))]);
+    world.run(2, &[]);
+    assert!(!line(&world.actions), "not before the lost proxy's lease is over");
+    world.run(3, &[]);
+    assert!(line(&world.actions));
+    assert!(!world.actions.iter().any(|a| matches!(a, Action::Bind { .. })));
+}
+
+#[test]
+fn a_list_on_request_is_subscribed_to_and_again_after_a_failure() {
+    let mut asked = settings();
+    asked.list_on_request = true;
+    let mut world = World::new(asked, 4, 2);
+    assert!(world.actions.contains(&Action::Subscribe(true)));
+    world.actions.clear();
+    world.send(&[Event::Members(ListKind::Lost, vec![])]);
+    world.run(3, &[]);
+    assert_eq!(world.actions.iter().filter(|a| **a == Action::Subscribe(true)).count(), 1);
+}
+
+#[test]
+fn no_probe_where_probes_are_forbidden() {
+    let mut quiet = settings();
+    quiet.probes = false;
+    let mut world = World::new(quiet, 4, 2);
+    world.run(10, &healthy(4, &[]));
+    assert!(!world.actions.iter().any(|a| matches!(a, Action::Probe(_))));
+}
+
+/// What a proxy would hold, and an independent count of its messages and of the lines that wait.
+fn event_strategy() -> impl Strategy<Value = Event> {
+    let life = prop_oneof![Just(Lifecycle::InService), Just(Lifecycle::Draining), Just(Lifecycle::Gone)];
+    let end = prop_oneof![Just(ProbeEnd::Done), Just(ProbeEnd::TimedOut), Just(ProbeEnd::Unreachable)];
+    prop_oneof![
+        4 => (0..8u32, 0.0..20.0f64, 0.0..1.0f64, 1.0..3000.0f64)
+            .prop_map(|(id, tries, bad, mean)| heard(id, tries, tries * bad, mean)),
+        1 => (0..6u32).prop_map(joined),
+        1 => (0..6u32).prop_map(|id| Event::Left(ProxyId(id))),
+        1 => (0..8u32, life, proptest::bool::ANY).prop_map(|(id, life, fresh)| {
+            let started = fresh.then_some(ms(1_003_000));
+            Event::Members(ListKind::Changes, vec![Entry { life, started, ..entry(id) }])
+        }),
+        2 => (0..8u32, end).prop_map(|(id, end)| probed(ServerId(id), end)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn rules_hold_over_random_events(rounds in prop::collection::vec(prop::collection::vec(event_strategy(), 0..6), 1..40)) {
+        let settings = settings();
+        let mut world = World::new(settings.clone(), 8, 6);
+        let mut open: BTreeSet<u32> = (0..8).collect();
+        for events in rounds {
+            for event in &events {
+                match event {
+                    Event::Members(_, entries) => for entry in entries {
+                        if entry.life == Lifecycle::InService { open.insert(entry.server.0) } else { open.remove(&entry.server.0) };
+                    },
+                    Event::Joined { proxy, .. } => {
+                        world.bound.remove(proxy);
+                    }
+                    _ => {}
+                }
+            }
+            world.actions.clear();
+            world.send(&events);
+            let table: Vec<u32> = world.tables[&TableId(0)].keys().map(|server| server.0).collect();
+            for server in 0..8 {
+                prop_assert!(open.contains(&server) || world.weight(server) == 0.0, "{server} left and keeps weight");
+            }
+            prop_assert!(open.is_empty() || table.iter().any(|server| world.weight(*server) > 0.0), "nobody to pick");
+            prop_assert!(world.retries[&1] <= Retry::Unrun);
+            for weight in world.tables.values().flat_map(|table| table.values()) {
+                prop_assert!(weight.is_finite() && *weight > 0.0);
+            }
+            world.run(1, &[]);
+            let recent = world.marks.iter().filter(|at| world.now - **at <= settings.messages_window).count();
+            prop_assert!(recent <= settings.messages_most, "{recent} messages in the window");
+        }
+    }
+
+    #[test]
+    fn the_same_events_give_the_same_actions(rounds in prop::collection::vec(prop::collection::vec(event_strategy(), 0..6), 1..20)) {
+        let mut one = World::new(settings(), 8, 6);
+        let mut two = World::new(settings(), 8, 6);
+        for events in rounds {
+            one.send(&events);
+            two.send(&events);
+            one.run(1, &[]);
+            two.run(1, &[]);
+            prop_assert_eq!(&one.actions, &two.actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/states.rs
@@ -0,0 +1,118 @@
+//! The design's ordinary path: score, states, dwell, fail-open silence, returns.
+
+mod common;
+use chutegrade_policy::interface::*;
+use common::*;
+
+#[test]
+fn a_quiet_fleet_keeps_listed_weights_and_sends_nothing_more() {
+    let mut world = World::new(settings(), 8, 4);
+    world.actions.clear();
+    world.run(20, &healthy(8, &[]));
+    assert!((0..8).all(|id| world.weight(id) == 4.0));
+    assert!(!world.actions.iter().any(|action| matches!(action, Action::Line { .. })));
+}
+
+#[test]
+fn a_failing_server_is_withdrawn_within_seconds_and_others_keep_their_weight() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(5, &healthy(8, &[]));
+    let mut events = healthy(8, &[3]);
+    events.push(heard(3, 8.0, 7.0, 200.0));
+    world.run(5, &events);
+    assert_eq!(world.weight(3), 0.0);
+    assert!((0..8).filter(|id| *id != 3).all(|id| world.weight(id) == 4.0));
+}
+
+#[test]
+fn one_failed_try_among_few_does_not_withdraw() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(5, &healthy(8, &[]));
+    let mut events = healthy(8, &[3]);
+    events.push(heard(3, 4.0, 1.0, 200.0));
+    world.run(1, &events);
+    world.run(5, &healthy(8, &[]));
+    assert!(world.weight(3) >= 2.0, "weight {}", world.weight(3));
+}
+
+#[test]
+fn silence_counts_as_healthy() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(20, &healthy(8, &[5]));
+    assert_eq!(world.weight(5), 4.0);
+}
+
+#[test]
+fn a_slow_server_is_reduced_but_never_withdrawn() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(5, &healthy(8, &[]));
+    let mut events = healthy(8, &[3]);
+    events.push(heard(3, 8.0, 0.0, 1500.0));
+    world.run(10, &events);
+    let weight = world.weight(3);
+    assert!(weight > 0.0 && weight < 1.0, "weight {weight}");
+}
+
+#[test]
+fn a_withdrawn_server_returns_small_and_climbs_on_good_reports() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(5, &healthy(8, &[]));
+    let mut events = healthy(8, &[3]);
+    events.push(heard(3, 8.0, 8.0, 0.0));
+    world.run(4, &events);
+    assert_eq!(world.weight(3), 0.0);
+    world.actions.clear();
+    world.run(8, &healthy(8, &[3]));
+    let back = world.actions.iter().find_map(|action| match action {
+        Action::Line { server: ServerId(3), weight, .. } => Some(*weight),
+        _ => None,
+    });
+    assert!(back.is_some_and(|weight| weight <= 0.4001), "first weight after the return: {back:?}");
+    world.run(12, &healthy(8, &[]));
+    assert_eq!(world.weight(3), 4.0);
+}
+
+#[test]
+fn a_server_that_answers_no_probe_goes_before_its_tries_time_out() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(5, &healthy(8, &[]));
+    world.mute.insert(3);
+    world.run(4, &healthy(8, &[3]));
+    assert_eq!(world.weight(3), 0.0);
+    world.run(20, &healthy(8, &[3]));
+    assert_eq!(world.weight(3), 0.0, "it does not return while probes fail");
+}
+
+#[test]
+fn a_trouble_of_all_blames_no_server() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(5, &healthy(8, &[]));
+    let stalled: Vec<Event> = (0..8).map(|id| heard(id, 8.0, 4.0, 1400.0)).collect();
+    world.run(15, &stalled);
+    assert!((0..8).all(|id| world.weight(id) >= 3.0));
+}
+
+#[test]
+fn probes_that_all_fail_blame_no_server() {
+    let mut world = World::new(settings(), 8, 4);
+    world.mute.extend(0..8);
+    world.run(10, &healthy(8, &[]));
+    assert!((0..8).all(|id| world.weight(id) == 4.0));
+}
+
+#[test]
+fn a_server_twice_as_slow_for_its_size_gets_about_half() {
+    let mut world = World::new(settings(), 8, 4);
+    let with_load = |id: u32, ms: f64| {
+        let Event::Heard { zone, server, tries, failed, mean_ms, period, .. } = heard(id, 8.0, 0.0, 200.0)
+        else {
+            unreachable!()
+        };
+        let load = Load { latency_ms: Some(ms), ..Load::default() };
+        Event::Heard { zone, server, tries, failed, mean_ms, period, load }
+    };
+    let events: Vec<Event> = (0..8).map(|id| with_load(id, if id == 2 { 200.0 } else { 100.0 })).collect();
+    world.run(20, &events);
+    let weight = world.weight(2);
+    assert!((1.6..=2.8).contains(&weight), "weight {weight}");
+}
