--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -28,8 +28,9 @@
 const RETURN_BACKOFF: u32 = 2;
 /// Ticks a return waits at most.
 const RETURN_TICKS_MOST: u32 = 24;
-/// Latency budget, as a multiple of the fleet's median (design).
-const LATENCY_BUDGET: f64 = 3.0;
+/// Latency budget, as a multiple of the fleet's median. The design starts at 3, which a merely busy server
+/// crosses: cores shared by a few requests more double its service time, and the fleet swings.
+const LATENCY_BUDGET: f64 = 5.0;
 /// Error budget, as a share of tries (design).
 const ERROR_BUDGET: f64 = 0.2;
 /// Least weight of a reduced server and weight of a returning one, as a share of the listed (design).
@@ -45,8 +46,11 @@
 const EVIDENCE_HALF_LIFE_S: f64 = 1.5;
 /// Tries of the fleet's own quality mixed into each server's: thin evidence then says little.
 const PRIOR_TRIES: f64 = 4.0;
+/// Mean queue and core use between which a server counts as saturated in part, then wholly.
+const BUSY_QUEUE: (f64, f64) = (1.0, 4.0);
+const BUSY_UTIL: (f64, f64) = (0.85, 0.95);
 /// Half-life of what is learned of a server's speed: several reports, which are noisy and few.
-const SPEED_HALF_LIFE_S: f64 = 5.0;
+const SPEED_HALF_LIFE_S: f64 = 12.0;
 /// Bounds of the correction of a listed weight by measured speed: beyond, the report is doubted.
 const SPEED_BOUNDS: (f64, f64) = (0.3, 2.5);
 /// Load reports mixed in at the fleet's median before a speed is believed.
@@ -62,8 +66,9 @@
 /// Panic threshold: at least this share of the listed weight stays in use; and at least this share of the
 /// probes must be answered before a failed one is held against a server.
 const PANIC_SHARE: f64 = 0.3;
-/// Expected load of a cold server stays under this share of the multiple that would push it over.
-const COLD_SAFETY: f64 = 0.5;
+/// A cold server's part is set as if demand were this multiple of what the listed fleet can do: room for a bad
+/// moment to begin before tallies, seconds late, tell of it.
+const COLD_DEMAND: f64 = 3.0;
 /// Share of the backlog that ordinary updates may fill; the rest is for joins and drains.
 const ORDINARY_BACKLOG: f64 = 0.3;
 /// Share of the backlog that guards may fill.
@@ -126,6 +131,30 @@
     }
 }
 
+/// What load reports tell of a server's speed, fading with time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Speed {
+    service: Fading,
+    per_util: Fading,
+}
+
+impl Speed {
+    fn add(&mut self, load: &Load) {
+        if let Some(ms) = load.latency_ms.filter(|ms| *ms > 0.0) {
+            // Shared cores stretch the service time of a busy server: what it shows while none waits tells more.
+            let weight = 1.0 / (1.0 + load.queue.unwrap_or(0.0));
+            self.service.add(ms * weight, weight);
+        }
+        if let (Some(qps), Some(util)) = (load.qps, load.util) {
+            self.per_util.add(qps, util);
+        }
+    }
+    fn fade(&mut self, keep: f64) {
+        self.service.fade(keep);
+        self.per_util.fade(keep);
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Probing {
     asked: Option<Micros>,
@@ -140,9 +169,9 @@
     entry: Entry,
     heard: BTreeMap<ZoneId, Evidence>,
     fresh_good: f64,
-    service: Fading,
-    per_util: Fading,
-    reports: f64,
+    speed: Speed,
+    speed_now: Speed,
+    busy: Fading,
     usual: Fading,
     probing: Probing,
     state: State,
@@ -161,9 +190,9 @@
             entry,
             heard: BTreeMap::new(),
             fresh_good: 0.0,
-            service: Fading::default(),
-            per_util: Fading::default(),
-            reports: 0.0,
+            speed: Speed::default(),
+            speed_now: Speed::default(),
+            busy: Fading::default(),
             usual: Fading::default(),
             probing: Probing::default(),
             state: State::Full,
@@ -186,6 +215,11 @@
         (self.below, self.above, self.out_ticks) = (0, 0, 0);
     }
 
+    /// The listed weight, never quite nothing.
+    fn size(&self) -> f64 {
+        self.entry.weight.max(f64::MIN_POSITIVE)
+    }
+
     fn open(&self) -> bool {
         self.entry.life == Lifecycle::InService
     }
@@ -194,20 +228,25 @@
         let keep = 0.5f64.powf(elapsed / EVIDENCE_HALF_LIFE_S);
         self.heard.values_mut().for_each(|evidence| evidence.fade(keep));
         self.probing.failed *= keep;
-        let keep = 0.5f64.powf(elapsed / SPEED_HALF_LIFE_S);
-        self.service.fade(keep);
-        self.per_util.fade(keep);
-        self.reports *= keep;
+        self.busy.fade(keep);
+        self.speed_now.fade(keep);
+        self.speed.fade(0.5f64.powf(elapsed / SPEED_HALF_LIFE_S));
     }
 
     fn report(&mut self, load: &Load) {
-        if let Some(ms) = load.latency_ms.filter(|ms| *ms > 0.0) {
-            self.service.add(ms, 1.0);
+        self.speed.add(load);
+        self.speed_now.add(load);
+        let full = |value: f64, (from, to): (f64, f64)| clamp01((value - from) / (to - from));
+        if let Some(queue) = load.queue {
+            self.busy.add(full(queue, BUSY_QUEUE), 1.0);
+        } else if let Some(util) = load.util {
+            self.busy.add(full(util, BUSY_UTIL), 1.0);
         }
-        if let (Some(qps), Some(util)) = (load.qps, load.util) {
-            self.per_util.add(qps, util);
-        }
-        self.reports += 1.0;
+    }
+
+    /// How far recent reports show the server saturated, from 0 to 1; 0 once reports stop.
+    fn saturated(&self) -> f64 {
+        self.busy.sum / (self.busy.weight + 0.5)
     }
 
     /// Share of its capacity that a server is sure to have, by the time since its start.
@@ -457,14 +496,16 @@
         }
         let zones = self.zone_references();
         let probes_count = self.probes_count();
+        let speeds = self.speeds(|server| &server.speed_now);
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
             let error = 1.0 - clamp01(error_share(server, &zones, probes_count) / ERROR_BUDGET);
-            let ratio = latency_ratio(server, &zones);
+            // Reported service time holds no waiting, so a server that is only busy is not taken for a slow one.
+            let ratio = speeds.get(id).map_or_else(|| latency_ratio(server, &zones), |speed| 1.0 / speed);
             let usual = server.usual.mean().unwrap_or(1.0).clamp(USUAL_BOUNDS.0, USUAL_BOUNDS.1);
             let latency = 1.0 - clamp01(ratio / usual / LATENCY_BUDGET);
             if server.state == State::Full {
                 // Learned only while nothing is wrong: else a long trouble would become the usual.
-                server.usual.fade(0.5f64.powf(elapsed / (4.0 * SPEED_HALF_LIFE_S)));
+                server.usual.fade(0.5f64.powf(elapsed / (2.0 * SPEED_HALF_LIFE_S)));
                 server.usual.add(ratio, 1.0);
             }
             let before = server.state;
@@ -535,29 +576,29 @@
 
     // ---- Weights ----
 
-    /// How fast each server is for its listed weight, against the fleet's median; 1 where nothing tells.
-    fn speeds(&self) -> BTreeMap<ServerId, f64> {
+    /// How fast each server is for its listed weight, against the fleet's median, over the longer or the shorter
+    /// time; nothing where no report tells.
+    fn speeds(&self, of: fn(&Server) -> &Speed) -> BTreeMap<ServerId, f64> {
         let by_kind = self.settings.listed == Listed::Nominal;
         let mut groups: BTreeMap<(bool, u32), Vec<(ServerId, f64, f64)>> = BTreeMap::new();
         for (id, server) in self.servers.iter().filter(|(_, server)| server.open()) {
-            let listed = server.entry.weight.max(f64::MIN_POSITIVE);
+            let speed = of(server);
             // Requests served at full use tell the capacity whatever the listed weight means. A service time
             // tells the speed alone: registered capacities already hold the machine kind's.
-            let capacity = server.per_util.mean().map(|per_util| per_util / listed);
-            let (group, value) = match (capacity, server.service.mean()) {
-                (Some(value), _) => ((true, 0), value),
-                (None, Some(ms)) => ((false, if by_kind { server.entry.kind } else { 0 }), 1.0 / ms),
+            let (group, value, reports) = match (speed.per_util.mean(), speed.service.mean()) {
+                (Some(per_util), _) => ((true, 0), per_util / server.size(), speed.per_util.weight),
+                (None, Some(ms)) => {
+                    ((false, if by_kind { server.entry.kind } else { 0 }), 1.0 / ms, speed.service.weight)
+                }
                 (None, None) => continue,
             };
-            groups.entry(group).or_default().push((*id, value, server.reports));
+            groups.entry(group).or_default().push((*id, value, reports));
         }
         let mut speeds = BTreeMap::new();
         for group in groups.into_values() {
             let median = quantile(group.iter().map(|(_, value, _)| *value).collect(), 0.5).unwrap_or(1.0);
             for (id, value, reports) in group {
-                let known = reports / (reports + PRIOR_REPORTS);
-                let speed = (value / median).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
-                speeds.insert(id, speed.powf(known));
+                speeds.insert(id, (value / median).powf(reports / (reports + PRIOR_REPORTS)));
             }
         }
         speeds
@@ -565,42 +606,36 @@
 
     /// The weight each open server should have, in the shared table and in its zone's.
     fn weights(&self, now: Micros) -> BTreeMap<ServerId, f64> {
-        let speeds = self.speeds();
-        let open = self.servers.iter().filter(|(_, server)| server.open());
-        let full: BTreeMap<ServerId, f64> = open
-            .map(|(id, server)| {
-                (*id, server.entry.weight.max(f64::MIN_POSITIVE) * speeds.get(id).copied().unwrap_or(1.0))
-            })
-            .collect();
+        let speeds = self.speeds(|server| &server.speed);
         let kept = self.panic_kept();
-        full.into_iter()
-            .filter_map(|(id, full)| {
-                let server = self.servers.get(&id)?;
-                let share = match server.state {
-                    State::Full => 1.0,
-                    State::Reduced => (server.score / RESTORE_ABOVE).clamp(LEAST_SHARE, 1.0),
-                    State::Withdrawn if kept.contains(&id) => LEAST_SHARE,
-                    State::Withdrawn => 0.0,
-                };
-                Some((id, full * share.min(server.ceiling).min(server.warmth(now, &self.settings))))
-            })
-            .collect()
+        let open = self.servers.iter().filter(|(_, server)| server.open());
+        open.map(|(id, server)| {
+            let speed = speeds.get(id).copied().unwrap_or(1.0).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+            let share = match server.state {
+                State::Full => 1.0,
+                State::Reduced => (server.score / RESTORE_ABOVE).clamp(LEAST_SHARE, 1.0),
+                State::Withdrawn if kept.contains(id) => LEAST_SHARE,
+                State::Withdrawn => 0.0,
+            };
+            let eased = share.min(server.ceiling).min(server.warmth(now, &self.settings));
+            (*id, server.size() * speed * eased)
+        })
+        .collect()
     }
 
     /// Panic threshold: of the withdrawn, the best keep a little weight while too little of the listed weight
     /// would remain. Danger: a trouble that is not the servers' own empties the tables.
     fn panic_kept(&self) -> BTreeSet<ServerId> {
         let open = || self.servers.iter().filter(|(_, server)| server.open());
-        let weight = |server: &Server| server.entry.weight.max(f64::MIN_POSITIVE);
-        let listed: f64 = open().map(|(_, server)| weight(server)).sum();
+        let listed: f64 = open().map(|(_, server)| server.size()).sum();
         let out: Vec<_> = open().filter(|(_, server)| server.state == State::Withdrawn).collect();
-        let mut used = listed - out.iter().map(|(_, server)| weight(server)).sum::<f64>();
+        let mut used = listed - out.iter().map(|(_, server)| server.size()).sum::<f64>();
         let mut best = out;
         best.sort_by(|a, b| b.1.score.total_cmp(&a.1.score));
         let mut kept = BTreeSet::new();
         for (id, server) in best {
             if used < PANIC_SHARE * listed {
-                used += weight(server);
+                used += server.size();
                 kept.insert(*id);
             }
         }
@@ -621,27 +656,31 @@
             // Nobody without a server: a table all of whose servers were withdrawn gets them back, at the part
             // they can surely do.
             for (id, weight) in &mut lines {
-                *weight = here(id)
-                    .map_or(0.0, |s| s.entry.weight.max(f64::MIN_POSITIVE) * s.warmth(now, &self.settings));
+                *weight = here(id).map_or(0.0, |s| s.size() * s.warmth(now, &self.settings));
             }
         }
         self.spare_the_cold(now, &mut lines);
         lines
     }
 
-    /// No cold server pushed over: should other servers be few, a cold one's part of the table still stays well
-    /// under what makes it fall, with all proxies together bringing as much as the listed fleet can do.
+    /// No cold server pushed over: a cold one's part of the table stays under what makes it fall, with all
+    /// proxies together, few other servers left, and clients coming again and again: tries for each good answer
+    /// tell how far demand is beyond what is served.
     fn spare_the_cold(&self, now: Micros, lines: &mut BTreeMap<ServerId, f64>) {
-        let listed: f64 = self.servers.values().filter(|s| s.open()).map(|s| s.entry.weight).sum();
+        let open = || self.servers.values().filter(|server| server.open());
+        let listed: f64 = open().map(Server::size).sum();
+        let seen = || open().flat_map(|server| server.heard.values());
+        let (tries, good): (f64, f64) = (seen().map(|e| e.tries).sum(), seen().map(|e| e.good).sum());
+        let demand = COLD_DEMAND * ((tries + PRIOR_TRIES) / (good + PRIOR_TRIES)).max(1.0);
         let warmth = |id: &ServerId| self.servers.get(id).map_or(1.0, |s| s.warmth(now, &self.settings));
         let warm: f64 = lines.iter().filter(|(id, _)| warmth(id) >= 1.0).map(|(_, weight)| weight).sum();
         if warm <= 0.0 || listed <= 0.0 {
             return;
         }
         for (id, weight) in lines.iter_mut() {
-            let (warmth, own) = (warmth(id), self.servers.get(id).map_or(0.0, |s| s.entry.weight));
+            let (warmth, own) = (warmth(id), self.servers.get(id).map_or(0.0, Server::size));
             if warmth < 1.0 {
-                let part = (COLD_SAFETY * self.settings.fall_multiple * warmth * own / listed).min(0.9);
+                let part = (self.settings.fall_multiple / demand * warmth * own / listed).min(0.9);
                 *weight = weight.min(warm * part / (1.0 - part));
             }
         }
@@ -828,6 +867,8 @@
     fn changes(&self, table: TableId, target: &BTreeMap<ServerId, f64>, changes: &mut Vec<Change>) {
         let empty = BTreeMap::new();
         let sent = self.tables.get(&table).map_or(&empty, |table| &table.lines);
+        // Nobody without a server: the first line of an empty table does not wait for its turn.
+        let bare = sent.is_empty();
         let total = target.values().sum::<f64>().max(f64::MIN_POSITIVE);
         let ids: BTreeSet<ServerId> = sent.keys().chain(target.keys()).copied().collect();
         for server in ids {
@@ -837,7 +878,7 @@
             let cooled =
                 self.servers.get(&server).is_some_and(|s| s.state == State::Reduced) && weight < 0.6 * old;
             if ended || (weight > 0.0 && (weight - old).abs() > RESEND_SHARE * old) {
-                let guard = ended || cooled;
+                let guard = ended || cooled || bare;
                 changes.push(Change { table, server, weight, guard, size: (weight - old).abs() / total });
             }
         }
@@ -936,7 +977,9 @@
     }
 }
 
-/// Share of failed tries at a server beyond its zones' fleet, failed probes counted as tries.
+/// Share of failed tries at a server beyond its zones' fleet, failed probes counted as tries. Failures of a
+/// server that reports itself saturated count less: they come from load. Danger: under high load a withdrawal
+/// saturates the next server, and the fleet swings. A saturated server that also fails keeps a small weight.
 fn error_share(server: &Server, zones: &BTreeMap<ZoneId, (f64, f64)>, probes_count: bool) -> f64 {
     let (mut tries, mut failed) = (PRIOR_TRIES, 0.0);
     for (zone, evidence) in &server.heard {
@@ -948,7 +991,7 @@
         tries += server.probing.failed;
         failed += server.probing.failed;
     }
-    failed / tries
+    failed / tries * (1.0 - server.saturated())
 }
 
 /// Mean time of good answers against the median of its zones' fleet.
