--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -31,7 +31,7 @@
 }
 
 /// A server, by an id that carries no meaning.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 /// A proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -234,9 +234,10 @@
 }
 
 /// What the list says of a server's life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Lifecycle {
     /// Open to requests.
+    #[default]
     InService,
     /// Completing its work; nothing new may be sent.
     Draining,
@@ -245,7 +246,7 @@
 }
 
 /// One entry of the list of servers.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Entry {
     /// The server.
     pub server: ServerId,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,4 +1,4 @@
-//! Every decision of chutegrade. The types it speaks - settings, events in, actions out - are in `interface.rs`.
+//! Every decision of chutegrade. Its types - settings, events in, actions out - are in `interface.rs`.
 //!
 //! In order: registry view, evidence, score and state, weights, admission and retries, rule guards, pacing.
 //! A server's weight follows its headroom score: the minimum of clamped one-minus-ratio terms, smoothed, with
@@ -24,15 +24,18 @@
 const RESTORE_ABOVE: f64 = 0.55;
 /// Ticks above before restoring, and ticks out before a return (write-up, design).
 const RESTORE_TICKS: u32 = 6;
-/// A return that failed waits this many times longer for the next (field practice: ejection backoff).
-const RETURN_BACKOFF: u32 = 2;
-/// Ticks a return waits at most.
-const RETURN_TICKS_MOST: u32 = 24;
+/// After a return that failed, the next waits longer by this factor, up to so many ticks (ejection backoff).
+const RETURN_BACKOFF: (u32, u32) = (2, 24);
 /// Latency budget, as a multiple of the fleet's median. The design starts at 3, which a merely busy server
 /// crosses: cores shared by a few requests more double its service time, and the fleet swings.
 const LATENCY_BUDGET: f64 = 5.0;
 /// Error budget, as a share of tries (design).
 const ERROR_BUDGET: f64 = 0.2;
+/// Mean queue and core use between which a server counts as saturated in part, then wholly.
+const BUSY_QUEUE: (f64, f64) = (1.0, 4.0);
+const BUSY_UTIL: (f64, f64) = (0.85, 0.95);
+/// How far saturation beyond the fleet's lowers the score: a busy server gets less work, not none.
+const LOAD_TERM_DEPTH: f64 = 0.75;
 /// Least weight of a reduced server and weight of a returning one, as a share of the listed (design).
 const LEAST_SHARE: f64 = 0.1;
 /// Score and ceiling of a new server (design).
@@ -46,15 +49,12 @@
 const EVIDENCE_HALF_LIFE_S: f64 = 1.5;
 /// Tries of the fleet's own quality mixed into each server's: thin evidence then says little.
 const PRIOR_TRIES: f64 = 4.0;
-/// Mean queue and core use between which a server counts as saturated in part, then wholly.
-const BUSY_QUEUE: (f64, f64) = (1.0, 4.0);
-const BUSY_UTIL: (f64, f64) = (0.85, 0.95);
-/// Half-life of what is learned of a server's speed: several reports, which are noisy and few.
+/// Half-life of what is learned of a server's speed: many reports, which are noisy and rest on few requests.
 const SPEED_HALF_LIFE_S: f64 = 12.0;
 /// Bounds of the correction of a listed weight by measured speed: beyond, the report is doubted.
 const SPEED_BOUNDS: (f64, f64) = (0.3, 2.5);
-/// Load reports mixed in at the fleet's median before a speed is believed.
-const PRIOR_REPORTS: f64 = 2.0;
+/// Load reports mixed in at the median before a speed is believed.
+const PRIOR_REPORTS: f64 = 4.0;
 /// Bounds of a server's usual latency against the fleet's.
 const USUAL_BOUNDS: (f64, f64) = (0.6, 1.8);
 /// Time between probes of a server that answers; one that does not is asked each tick.
@@ -68,49 +68,33 @@
 const PANIC_SHARE: f64 = 0.3;
 /// A cold server's part is set as if demand were this multiple of what the listed fleet can do: room for a bad
 /// moment to begin before tallies, seconds late, tell of it.
-const COLD_DEMAND: f64 = 3.0;
-/// Share of the backlog that ordinary updates may fill; the rest is for joins and drains.
+const COLD_DEMAND: f64 = 4.0;
+/// Factor and step by which the admitted share falls and rises, and its least.
+const ADMIT_CUT: f64 = 0.75;
+const ADMIT_RAISE: f64 = 0.1;
+const ADMIT_LEAST: f64 = 0.1;
+/// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
 const ORDINARY_BACKLOG: f64 = 0.3;
-/// Share of the backlog that guards may fill.
 const GUARD_BACKLOG: f64 = 0.9;
-/// Share of the message limit that guards may use; the rest is for drains.
-const GUARD_MESSAGES: f64 = 0.8;
-/// Share of the message limit that ordinary updates may use.
+/// Share of the message limit that ordinary updates, and guards, may use; the rest is for drains.
 const ORDINARY_MESSAGES: f64 = 0.6;
+const GUARD_MESSAGES: f64 = 0.8;
 /// Time between ordinary updates.
 const UPDATE_EVERY: Micros = Micros(1_000_000);
 /// A subscription that failed is tried again after this time.
 const SUBSCRIBE_AGAIN: Micros = Micros(1_000_000);
 
 const TICK_TIMER: u32 = 1;
-const SHARED: TableId = TableId(0);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
+    #[default]
     Full,
     Reduced,
     Withdrawn,
 }
 
-/// What proxies of one zone met at a server, fading with time.
-#[derive(Clone, Copy, Debug, Default)]
-struct Evidence {
-    tries: f64,
-    failed: f64,
-    good: f64,
-    cost: f64,
-}
-
-impl Evidence {
-    fn fade(&mut self, keep: f64) {
-        self.tries *= keep;
-        self.failed *= keep;
-        self.good *= keep;
-        self.cost *= keep;
-    }
-}
-
-/// A mean that fades with time: a sum and its weight.
+/// A ratio of sums that fade with time.
 #[derive(Clone, Copy, Debug, Default)]
 struct Fading {
     sum: f64,
@@ -122,7 +106,8 @@
         self.sum += sum;
         self.weight += weight;
     }
-    fn fade(&mut self, keep: f64) {
+    fn fade(&mut self, elapsed: f64, half_life: f64) {
+        let keep = 0.5f64.powf(elapsed / half_life);
         self.sum *= keep;
         self.weight *= keep;
     }
@@ -131,7 +116,14 @@
     }
 }
 
-/// What load reports tell of a server's speed, fading with time.
+/// What proxies of one zone met at a server: failures over tries, cost over good answers.
+#[derive(Clone, Copy, Debug, Default)]
+struct Evidence {
+    failed: Fading,
+    cost: Fading,
+}
+
+/// What load reports tell of a server's speed: service time, and requests served over core use.
 #[derive(Clone, Copy, Debug, Default)]
 struct Speed {
     service: Fading,
@@ -149,9 +141,9 @@
             self.per_util.add(qps, util);
         }
     }
-    fn fade(&mut self, keep: f64) {
-        self.service.fade(keep);
-        self.per_util.fade(keep);
+    fn fade(&mut self, elapsed: f64, half_life: f64) {
+        self.service.fade(elapsed, half_life);
+        self.per_util.fade(elapsed, half_life);
     }
 }
 
@@ -164,7 +156,7 @@
     answered: bool,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Server {
     entry: Entry,
     heard: BTreeMap<ZoneId, Evidence>,
@@ -172,6 +164,7 @@
     speed: Speed,
     speed_now: Speed,
     busy: Fading,
+    last_load: Load,
     usual: Fading,
     probing: Probing,
     state: State,
@@ -186,25 +179,10 @@
 
 impl Server {
     fn new(entry: Entry, warm: bool) -> Self {
-        let mut server = Server {
-            entry,
-            heard: BTreeMap::new(),
-            fresh_good: 0.0,
-            speed: Speed::default(),
-            speed_now: Speed::default(),
-            busy: Fading::default(),
-            usual: Fading::default(),
-            probing: Probing::default(),
-            state: State::Full,
-            score: 1.0,
-            below: 0,
-            above: 0,
-            out_ticks: 0,
-            return_after: RESTORE_TICKS,
-            ceiling: 1.0,
-            shut: false,
-        };
-        if !warm {
+        let mut server = Server { entry, return_after: RESTORE_TICKS, ..Server::default() };
+        if warm {
+            server.enter(State::Full, 1.0, 1.0);
+        } else {
             server.enter(State::Reduced, NEW_SCORE, NEW_SCORE);
         }
         server
@@ -215,25 +193,31 @@
         (self.below, self.above, self.out_ticks) = (0, 0, 0);
     }
 
+    fn open(&self) -> bool {
+        self.entry.life == Lifecycle::InService
+    }
+
     /// The listed weight, never quite nothing.
     fn size(&self) -> f64 {
         self.entry.weight.max(f64::MIN_POSITIVE)
     }
 
-    fn open(&self) -> bool {
-        self.entry.life == Lifecycle::InService
-    }
-
     fn fade(&mut self, elapsed: f64) {
-        let keep = 0.5f64.powf(elapsed / EVIDENCE_HALF_LIFE_S);
-        self.heard.values_mut().for_each(|evidence| evidence.fade(keep));
-        self.probing.failed *= keep;
-        self.busy.fade(keep);
-        self.speed_now.fade(keep);
-        self.speed.fade(0.5f64.powf(elapsed / SPEED_HALF_LIFE_S));
+        for evidence in self.heard.values_mut() {
+            evidence.failed.fade(elapsed, EVIDENCE_HALF_LIFE_S);
+            evidence.cost.fade(elapsed, EVIDENCE_HALF_LIFE_S);
+        }
+        self.probing.failed *= 0.5f64.powf(elapsed / EVIDENCE_HALF_LIFE_S);
+        self.busy.fade(elapsed, EVIDENCE_HALF_LIFE_S);
+        self.speed_now.fade(elapsed, EVIDENCE_HALF_LIFE_S);
+        self.speed.fade(elapsed, SPEED_HALF_LIFE_S);
     }
 
     fn report(&mut self, load: &Load) {
+        if *load == Load::default() || *load == self.last_load {
+            return; // No report, or the one known already: servers refresh theirs only now and then.
+        }
+        self.last_load = *load;
         self.speed.add(load);
         self.speed_now.add(load);
         let full = |value: f64, (from, to): (f64, f64)| clamp01((value - from) / (to - from));
@@ -244,6 +228,19 @@
         }
     }
 
+    fn probed(&mut self, end: ProbeEnd) {
+        let probing = &mut self.probing;
+        probing.asked = None;
+        match end {
+            ProbeEnd::Done => (probing.failing, probing.answered) = (0, true),
+            ProbeEnd::Busy | ProbeEnd::Other => {}
+            ProbeEnd::Error | ProbeEnd::TimedOut | ProbeEnd::Unreachable => {
+                (probing.failing, probing.answered, probing.next) = (probing.failing + 1, false, Micros(0));
+                probing.failed += PROBE_TRIES * f64::from(probing.failing);
+            }
+        }
+    }
+
     /// How far recent reports show the server saturated, from 0 to 1; 0 once reports stop.
     fn saturated(&self) -> f64 {
         self.busy.sum / (self.busy.weight + 0.5)
@@ -261,7 +258,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Proxy {
     zone: ZoneId,
     bound: bool,
@@ -274,6 +271,20 @@
     levels: BTreeMap<ClassSet, (f64, Retry)>,
 }
 
+/// Which table serves whom: the shared one, or a zone's own for classes that stay at home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Scheme {
+    table: TableId,
+    home: Option<ZoneId>,
+    classes: ClassSet,
+}
+
+impl Scheme {
+    fn serves(&self, proxy: &Proxy) -> bool {
+        self.home.is_none_or(|zone| zone == proxy.zone)
+    }
+}
+
 /// What the own orders did to the channel, as far as it can be told from here.
 #[derive(Clone, Copy, Debug, Default)]
 struct Channel {
@@ -295,13 +306,48 @@
 /// A change to a table's line that waits to be sent.
 #[derive(Clone, Copy, Debug)]
 struct Change {
-    table: TableId,
+    scheme: Scheme,
     server: ServerId,
     weight: f64,
     guard: bool,
     size: f64,
 }
 
+/// The orders of one turn, and the lines they cost at each proxy.
+#[derive(Debug, Default)]
+struct Orders {
+    actions: Vec<Action>,
+    lines: BTreeMap<ProxyId, f64>,
+}
+
+impl Orders {
+    fn give(&mut self, action: Action, to: impl Iterator<Item = ProxyId>) {
+        self.actions.push(action);
+        for proxy in to {
+            *self.lines.entry(proxy).or_default() += 1.0;
+        }
+    }
+}
+
+/// A sole owner's replacement under way: the table is empty until no write can still reach the former owner.
+#[derive(Clone, Debug)]
+struct Handover {
+    waits_for: BTreeSet<ProxyId>,
+    mark: u16,
+    not_before: Micros,
+}
+
+/// The fleet as a whole: smoothed headroom, dwell counts, and the share of requests let in.
+#[derive(Clone, Debug)]
+struct Admission {
+    headroom: f64,
+    below: u32,
+    above: u32,
+    since: u32,
+    share: f64,
+    came: Vec<Fading>,
+}
+
 /// One instance of the decisions.
 #[derive(Clone, Debug)]
 pub struct Policy {
@@ -311,33 +357,25 @@
     servers: BTreeMap<ServerId, Server>,
     proxies: BTreeMap<ProxyId, Proxy>,
     tables: BTreeMap<TableId, Table>,
+    schemes: Vec<Scheme>,
     channel: Channel,
+    admission: Admission,
     ticked: Micros,
     updated: Option<Micros>,
     subscribe_at: Option<Micros>,
-    slices: BTreeMap<TableId, Slice>,
+    slices: BTreeMap<TableId, Option<Handover>>,
 }
 
-/// A slice in this instance's charge.
-#[derive(Clone, Debug, Default)]
-struct Slice {
-    handover: Option<Handover>,
-}
-
-/// A sole owner's replacement under way: the table is empty until no write can still reach the former owner.
-#[derive(Clone, Debug)]
-struct Handover {
-    waits_for: BTreeSet<ProxyId>,
-    mark: u16,
-    not_before: Micros,
-}
+/// By zone: the fleet's median error share and latency.
+type References = BTreeMap<ZoneId, (f64, f64)>;
 
 fn clamp01(value: f64) -> f64 {
     value.clamp(0.0, 1.0)
 }
 
-/// The value below which the given share of the sorted values lies.
-fn quantile(mut values: Vec<f64>, share: f64) -> Option<f64> {
+/// The value below which the given share of the values lies; none of none.
+fn quantile(values: impl Iterator<Item = f64>, share: f64) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
     values.sort_by(f64::total_cmp);
     let last = values.len().checked_sub(1)?;
     values.get((last as f64 * share).round() as usize).copied()
@@ -346,7 +384,9 @@
 impl Policy {
     /// An instance that knows its settings and nothing else.
     pub fn new(settings: Settings, seed: u64) -> Self {
+        let came = vec![Fading::default(); settings.classes.len()];
         Policy {
+            schemes: schemes(&settings),
             settings,
             seed,
             started: false,
@@ -354,6 +394,7 @@
             proxies: BTreeMap::new(),
             tables: BTreeMap::new(),
             channel: Channel::default(),
+            admission: Admission { headroom: 1.0, below: 0, above: 0, since: RESTORE_TICKS, share: 1.0, came },
             ticked: Micros(0),
             updated: None,
             subscribe_at: None,
@@ -370,14 +411,14 @@
             if self.settings.list_on_request {
                 out.push(Action::Subscribe(true));
             }
-            out.push(Action::Timer { id: TICK_TIMER, after: TICK });
+            // Instances that tick in step would act in step on the same reports.
+            let first = Micros(TICK.0 / 2 + (self.seed % (TICK.0 as u64 / 2)) as i64);
+            out.push(Action::Timer { id: TICK_TIMER, after: first });
         }
-        let mut tick = false;
         for event in events {
-            tick |= *event == Event::Timer(TICK_TIMER);
             self.take(now, event);
         }
-        if tick {
+        if events.contains(&Event::Timer(TICK_TIMER)) {
             out.push(Action::Timer { id: TICK_TIMER, after: TICK });
             self.tick(now, &mut out);
         }
@@ -385,6 +426,10 @@
         out
     }
 
+    fn open(&self) -> impl Iterator<Item = (&ServerId, &Server)> + Clone {
+        self.servers.iter().filter(|(_, server)| server.open())
+    }
+
     // ---- Registry view and evidence ----
 
     fn take(&mut self, now: Micros, event: &Event) {
@@ -392,15 +437,13 @@
             Event::Members(ListKind::Lost, _) => self.subscribe_at = Some(now + SUBSCRIBE_AGAIN),
             Event::Members(kind, entries) => self.members(now, *kind, entries),
             Event::Joined { proxy, zone, rate: _ } => {
-                let fresh = Proxy { zone: *zone, bound: false, written: VecDeque::new() };
-                self.proxies.insert(*proxy, fresh);
+                self.proxies.insert(*proxy, Proxy { zone: *zone, ..Proxy::default() });
             }
             Event::Left(proxy) => {
                 self.proxies.remove(proxy);
-                let lease_over = now + self.settings.lease;
-                for handover in self.slices.values_mut().filter_map(|slice| slice.handover.as_mut()) {
+                for handover in self.slices.values_mut().flatten() {
                     if handover.waits_for.remove(proxy) {
-                        handover.not_before = handover.not_before.max(lease_over);
+                        handover.not_before = handover.not_before.max(now + self.settings.lease);
                     }
                 }
             }
@@ -408,45 +451,36 @@
                 if let Some(server) = self.servers.get_mut(server) {
                     let good = (tries - failed).max(0.0);
                     let seen = server.heard.entry(*zone).or_default();
-                    seen.tries += tries;
-                    seen.failed += failed.min(*tries);
-                    seen.good += good;
-                    seen.cost += good * mean_ms;
+                    seen.failed.add(failed.min(*tries), *tries);
+                    seen.cost.add(good * mean_ms, good);
                     server.fresh_good += good;
                     server.report(load);
                 }
             }
             Event::Probed { server, end, load, .. } => {
                 if let Some(server) = self.servers.get_mut(server) {
-                    let probing = &mut server.probing;
-                    probing.asked = None;
-                    match end {
-                        ProbeEnd::Done => (probing.failing, probing.answered) = (0, true),
-                        ProbeEnd::Busy | ProbeEnd::Other => {}
-                        ProbeEnd::Error | ProbeEnd::TimedOut | ProbeEnd::Unreachable => {
-                            (probing.failing, probing.answered) = (probing.failing + 1, false);
-                            probing.failed += PROBE_TRIES * f64::from(probing.failing);
-                        }
-                    }
+                    server.probed(*end);
                     server.report(load);
                 }
             }
+            Event::Usage { class, came, .. } | Event::SliceUsage { class, came, .. } => {
+                if let Some(class) = self.admission.came.get_mut(usize::from(class.0)) {
+                    class.add(*came, 1.0);
+                }
+            }
             Event::Receipt { proxy, mark, .. } => {
                 if *mark == self.channel.mark {
                     self.channel.marked = None;
                 }
-                for handover in self.slices.values_mut().filter_map(|slice| slice.handover.as_mut()) {
-                    if handover.mark == *mark {
-                        handover.waits_for.remove(proxy);
-                    }
+                for handover in self.slices.values_mut().flatten().filter(|h| h.mark == *mark) {
+                    handover.waits_for.remove(proxy);
                 }
             }
             Event::Tenure { table, given } => {
                 self.tables.insert(*table, Table::default());
+                self.slices.remove(table);
                 if *given {
-                    self.slices.insert(*table, Slice::default());
-                } else {
-                    self.slices.remove(table);
+                    self.slices.insert(*table, None);
                 }
             }
             Event::Held { table, server, weight } => {
@@ -454,16 +488,15 @@
                     table.lines.insert(*server, *weight);
                 }
             }
-            Event::Usage { .. } | Event::SliceUsage { .. } | Event::Peer { .. } | Event::Timer(_) => {}
+            Event::Peer { .. } | Event::Timer(_) => {}
         }
     }
 
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         let first = self.servers.is_empty();
         if kind != ListKind::Changes {
-            let listed: BTreeSet<ServerId> = entries.iter().map(|entry| entry.server).collect();
             for (id, server) in &mut self.servers {
-                if !listed.contains(id) {
+                if !entries.iter().any(|entry| entry.server == *id) {
                     server.entry.life = Lifecycle::Gone;
                 }
             }
@@ -473,9 +506,7 @@
             match self.servers.get_mut(&entry.server) {
                 // A process that started anew is another server in all that matters: cold, with no past.
                 Some(known) if entry.started > known.entry.started => {
-                    let shut = known.shut;
-                    *known = Server::new(*entry, !cold);
-                    known.shut = shut;
+                    *known = Server { shut: known.shut, ..Server::new(*entry, !cold) };
                 }
                 Some(known) => known.entry = *entry,
                 None => {
@@ -494,81 +525,66 @@
             self.subscribe_at = None;
             out.push(Action::Subscribe(true));
         }
-        let zones = self.zone_references();
+        let zones = self.references();
         let probes_count = self.probes_count();
         let speeds = self.speeds(|server| &server.speed_now);
+        let fleet_saturated = quantile(self.open().map(|(_, s)| s.saturated()), 0.5).unwrap_or(0.0);
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
             let error = 1.0 - clamp01(error_share(server, &zones, probes_count) / ERROR_BUDGET);
             // Reported service time holds no waiting, so a server that is only busy is not taken for a slow one.
             let ratio = speeds.get(id).map_or_else(|| latency_ratio(server, &zones), |speed| 1.0 / speed);
             let usual = server.usual.mean().unwrap_or(1.0).clamp(USUAL_BOUNDS.0, USUAL_BOUNDS.1);
             let latency = 1.0 - clamp01(ratio / usual / LATENCY_BUDGET);
+            let load = 1.0 - LOAD_TERM_DEPTH * clamp01(server.saturated() - fleet_saturated);
             if server.state == State::Full {
                 // Learned only while nothing is wrong: else a long trouble would become the usual.
-                server.usual.fade(0.5f64.powf(elapsed / (2.0 * SPEED_HALF_LIFE_S)));
+                server.usual.fade(elapsed, 2.0 * SPEED_HALF_LIFE_S);
                 server.usual.add(ratio, 1.0);
             }
             let before = server.state;
-            step(server, error, latency);
+            step(server, error, latency.min(load));
             if server.state != before {
-                let cause = if error <= latency { "errors" } else { "latency" };
-                let score = (server.score * 100.0).round() / 100.0;
-                out.push(Action::Log(format!("server {} {:?} score {score} by {cause}", id.0, server.state)));
+                let terms = format!("errors {error:.2} latency {latency:.2} load {load:.2}");
+                out.push(Action::Log(format!(
+                    "{} {:?} score {:.2}: {terms}",
+                    id.0, server.state, server.score
+                )));
             }
             server.fresh_good = 0.0;
             server.fade(elapsed);
         }
+        self.admit(elapsed, &zones, out);
         self.probe(now, out);
     }
 
-    /// By zone: the fleet's median error share and latency. What strikes all servers alike - a stalled proxy,
-    /// zone or supervisor, an overload - moves the reference and blames no server.
-    fn zone_references(&self) -> BTreeMap<ZoneId, (f64, f64)> {
-        let mut seen: BTreeMap<ZoneId, (Vec<f64>, Vec<f64>)> = BTreeMap::new();
-        for server in self.servers.values().filter(|server| server.open()) {
-            for (zone, evidence) in &server.heard {
-                let (errors, latencies) = seen.entry(*zone).or_default();
-                if evidence.tries >= 1.0 {
-                    errors.push(evidence.failed / evidence.tries);
-                }
-                if evidence.good >= 1.0 {
-                    latencies.push(evidence.cost / evidence.good);
-                }
-            }
-        }
-        seen.into_iter()
-            .map(|(zone, (errors, latencies))| {
-                (zone, (quantile(errors, 0.5).unwrap_or(0.0), quantile(latencies, 0.5).unwrap_or(0.0)))
-            })
+    /// What strikes all servers alike - a stalled proxy, zone or supervisor, an overload - moves the medians and
+    /// blames no server.
+    fn references(&self) -> References {
+        let zones: BTreeSet<ZoneId> = self.open().flat_map(|(_, s)| s.heard.keys().copied()).collect();
+        let median = |zone: &ZoneId, of: fn(&Evidence) -> Fading| {
+            let seen = self.open().filter_map(|(_, s)| s.heard.get(zone).map(of)).filter(|f| f.weight >= 1.0);
+            quantile(seen.map(|f| f.sum / f.weight), 0.5).unwrap_or(0.0)
+        };
+        zones
+            .into_iter()
+            .map(|zone| (zone, (median(&zone, |e| e.failed), median(&zone, |e| e.cost))))
             .collect()
     }
 
     /// Whether failed probes say something of servers: not while nearly none is answered, which points to the
     /// own link or process.
     fn probes_count(&self) -> bool {
-        let asked =
-            self.servers.values().filter(|s| s.open() && (s.probing.answered || s.probing.failing > 0));
-        let (answered, all) =
-            asked.fold((0, 0), |(yes, all), s| (yes + usize::from(s.probing.answered), all + 1));
-        answered as f64 >= PANIC_SHARE * all as f64
+        let answered = self.open().filter(|(_, s)| s.probing.answered).count();
+        let failing = self.open().filter(|(_, s)| s.probing.failing > 0).count();
+        answered as f64 >= PANIC_SHARE * (answered + failing) as f64
     }
 
     fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
-        if !self.settings.probes {
-            return;
-        }
-        for (nth, (id, server)) in self.servers.iter_mut().filter(|(_, server)| server.open()).enumerate() {
+        for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
             let probing = &mut server.probing;
-            if probing.asked.is_some_and(|asked| now - asked < PROBE_LOST) || probing.next > now {
-                continue;
-            }
-            // Spread over the ticks, differently at each instance, so that probes do not meet at a server.
-            let even = (self.seed.wrapping_add(nth as u64)).is_multiple_of(2);
-            let first = probing.next == Micros(0) && even;
-            let pause = if probing.failing > 0 || first { TICK } else { PROBE_EVERY };
-            probing.next = now + Micros(pause.0 - TICK.0 / 2);
-            if !first {
-                probing.asked = Some(now);
+            let waits = probing.asked.is_some_and(|asked| now - asked < PROBE_LOST);
+            if self.settings.probes && !waits && probing.next <= now {
+                (probing.asked, probing.next) = (Some(now), now + PROBE_EVERY);
                 out.push(Action::Probe(*id));
             }
         }
@@ -577,39 +593,43 @@
     // ---- Weights ----
 
     /// How fast each server is for its listed weight, against the fleet's median, over the longer or the shorter
-    /// time; nothing where no report tells.
+    /// time; nothing where no report tells. A kind's speed is known early, from all its servers; each server's
+    /// own only after many reports.
     fn speeds(&self, of: fn(&Server) -> &Speed) -> BTreeMap<ServerId, f64> {
-        let by_kind = self.settings.listed == Listed::Nominal;
-        let mut groups: BTreeMap<(bool, u32), Vec<(ServerId, f64, f64)>> = BTreeMap::new();
-        for (id, server) in self.servers.iter().filter(|(_, server)| server.open()) {
-            let speed = of(server);
-            // Requests served at full use tell the capacity whatever the listed weight means. A service time
-            // tells the speed alone: registered capacities already hold the machine kind's.
-            let (group, value, reports) = match (speed.per_util.mean(), speed.service.mean()) {
-                (Some(per_util), _) => ((true, 0), per_util / server.size(), speed.per_util.weight),
-                (None, Some(ms)) => {
-                    ((false, if by_kind { server.entry.kind } else { 0 }), 1.0 / ms, speed.service.weight)
-                }
-                (None, None) => continue,
-            };
-            groups.entry(group).or_default().push((*id, value, reports));
-        }
+        let known = |reports: f64| reports / (reports + PRIOR_REPORTS);
+        let measured: Vec<(ServerId, u32, bool, f64, f64)> = self
+            .open()
+            .filter_map(|(id, server)| {
+                let (kind, speed) = (server.entry.kind, of(server));
+                let by_use = speed
+                    .per_util
+                    .mean()
+                    .map(|v| (*id, kind, true, v / server.size(), speed.per_util.weight));
+                by_use.or_else(|| {
+                    speed.service.mean().map(|ms| (*id, kind, false, 1.0 / ms, speed.service.weight))
+                })
+            })
+            .collect();
         let mut speeds = BTreeMap::new();
-        for group in groups.into_values() {
-            let median = quantile(group.iter().map(|(_, value, _)| *value).collect(), 0.5).unwrap_or(1.0);
-            for (id, value, reports) in group {
-                speeds.insert(id, (value / median).powf(reports / (reports + PRIOR_REPORTS)));
-            }
+        for (id, kind, by_use, value, reports) in &measured {
+            let fleet = measured.iter().filter(|m| m.2 == *by_use);
+            let alike = fleet.clone().filter(|m| m.1 == *kind);
+            let usual = quantile(alike.clone().map(|m| m.3), 0.5).unwrap_or(*value);
+            let median = quantile(fleet.map(|m| m.3), 0.5).unwrap_or(usual);
+            // Requests served at full use tell a capacity, whatever the listed weight means; a service time tells
+            // a speed, and a registered capacity already holds the kind's.
+            let counted = *by_use || self.settings.listed != Listed::Nominal;
+            let of_kind = if counted { (usual / median).powf(known(alike.map(|m| m.4).sum())) } else { 1.0 };
+            speeds.insert(*id, of_kind * (value / usual).powf(known(*reports)));
         }
         speeds
     }
 
-    /// The weight each open server should have, in the shared table and in its zone's.
+    /// The weight each open server should have.
     fn weights(&self, now: Micros) -> BTreeMap<ServerId, f64> {
         let speeds = self.speeds(|server| &server.speed);
         let kept = self.panic_kept();
-        let open = self.servers.iter().filter(|(_, server)| server.open());
-        open.map(|(id, server)| {
+        let weight = |id: &ServerId, server: &Server| {
             let speed = speeds.get(id).copied().unwrap_or(1.0).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
             let share = match server.state {
                 State::Full => 1.0,
@@ -617,23 +637,21 @@
                 State::Withdrawn if kept.contains(id) => LEAST_SHARE,
                 State::Withdrawn => 0.0,
             };
-            let eased = share.min(server.ceiling).min(server.warmth(now, &self.settings));
-            (*id, server.size() * speed * eased)
-        })
-        .collect()
+            server.size() * speed * share.min(server.ceiling).min(server.warmth(now, &self.settings))
+        };
+        self.open().map(|(id, server)| (*id, weight(id, server))).collect()
     }
 
     /// Panic threshold: of the withdrawn, the best keep a little weight while too little of the listed weight
     /// would remain. Danger: a trouble that is not the servers' own empties the tables.
     fn panic_kept(&self) -> BTreeSet<ServerId> {
-        let open = || self.servers.iter().filter(|(_, server)| server.open());
-        let listed: f64 = open().map(|(_, server)| server.size()).sum();
-        let out: Vec<_> = open().filter(|(_, server)| server.state == State::Withdrawn).collect();
-        let mut used = listed - out.iter().map(|(_, server)| server.size()).sum::<f64>();
-        let mut best = out;
-        best.sort_by(|a, b| b.1.score.total_cmp(&a.1.score));
+        let listed: f64 = self.open().map(|(_, server)| server.size()).sum();
+        let mut used: f64 =
+            self.open().filter(|(_, s)| s.state != State::Withdrawn).map(|(_, server)| server.size()).sum();
+        let mut out: Vec<_> = self.open().filter(|(_, server)| server.state == State::Withdrawn).collect();
+        out.sort_by(|a, b| b.1.score.total_cmp(&a.1.score));
         let mut kept = BTreeSet::new();
-        for (id, server) in best {
+        for (id, server) in out {
             if used < PANIC_SHARE * listed {
                 used += server.size();
                 kept.insert(*id);
@@ -642,22 +660,20 @@
         kept
     }
 
-    /// The lines a table should have. `zone`: only that zone's servers, for classes that stay at home.
+    /// The lines a table should have. `home`: only that zone's servers, for classes that stay at home.
     fn target(
         &self,
         now: Micros,
         weights: &BTreeMap<ServerId, f64>,
-        zone: Option<ZoneId>,
+        home: Option<ZoneId>,
     ) -> BTreeMap<ServerId, f64> {
-        let here = |id: &ServerId| self.servers.get(id).filter(|s| zone.is_none_or(|z| s.entry.zone == z));
+        let here = self.open().filter(|(_, server)| home.is_none_or(|zone| server.entry.zone == zone));
         let mut lines: BTreeMap<ServerId, f64> =
-            weights.iter().filter(|(id, _)| here(id).is_some()).map(|(id, weight)| (*id, *weight)).collect();
+            here.clone().map(|(id, _)| (*id, weights.get(id).copied().unwrap_or(0.0))).collect();
         if lines.values().all(|weight| *weight <= 0.0) {
             // Nobody without a server: a table all of whose servers were withdrawn gets them back, at the part
             // they can surely do.
-            for (id, weight) in &mut lines {
-                *weight = here(id).map_or(0.0, |s| s.size() * s.warmth(now, &self.settings));
-            }
+            lines = here.map(|(id, s)| (*id, s.size() * s.warmth(now, &self.settings))).collect();
         }
         self.spare_the_cold(now, &mut lines);
         lines
@@ -667,118 +683,151 @@
     /// proxies together, few other servers left, and clients coming again and again: tries for each good answer
     /// tell how far demand is beyond what is served.
     fn spare_the_cold(&self, now: Micros, lines: &mut BTreeMap<ServerId, f64>) {
-        let open = || self.servers.values().filter(|server| server.open());
-        let listed: f64 = open().map(Server::size).sum();
-        let seen = || open().flat_map(|server| server.heard.values());
-        let (tries, good): (f64, f64) = (seen().map(|e| e.tries).sum(), seen().map(|e| e.good).sum());
+        let listed: f64 = self.open().map(|(_, server)| server.size()).sum();
+        let seen = self.open().flat_map(|(_, server)| server.heard.values());
+        let tries: f64 = seen.clone().map(|evidence| evidence.failed.weight).sum();
+        let good: f64 = seen.map(|evidence| evidence.cost.weight).sum();
         let demand = COLD_DEMAND * ((tries + PRIOR_TRIES) / (good + PRIOR_TRIES)).max(1.0);
         let warmth = |id: &ServerId| self.servers.get(id).map_or(1.0, |s| s.warmth(now, &self.settings));
         let warm: f64 = lines.iter().filter(|(id, _)| warmth(id) >= 1.0).map(|(_, weight)| weight).sum();
-        if warm <= 0.0 || listed <= 0.0 {
-            return;
-        }
-        for (id, weight) in lines.iter_mut() {
-            let (warmth, own) = (warmth(id), self.servers.get(id).map_or(0.0, Server::size));
-            if warmth < 1.0 {
-                let part = (self.settings.fall_multiple / demand * warmth * own / listed).min(0.9);
-                *weight = weight.min(warm * part / (1.0 - part));
-            }
+        for (id, weight) in lines.iter_mut().filter(|(id, _)| warm > 0.0 && warmth(id) < 1.0) {
+            let own = self.servers.get(id).map_or(0.0, Server::size);
+            let part = (self.settings.fall_multiple / demand * warmth(id) * own / listed).min(0.9);
+            *weight = weight.min(warm * part / (1.0 - part));
         }
     }
 
     // ---- Admission and retries ----
 
-    /// Classes by the table that serves them: the shared one, or their zone's for those that stay at home.
-    fn classes(&self, home_only: bool) -> ClassSet {
-        let classes =
-            self.settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
-        classes.fold(ClassSet::default(), |set, (k, _)| set.with(k))
+    /// The fleet's headroom, by the same terms and thresholds as a server's, decides what share is let in.
+    /// Danger: clients come again, abandoned work goes on, and a fleet once full stays full. Nothing is shed
+    /// while headroom remains; a short burst passes within the dwell.
+    fn admit(&mut self, elapsed: f64, zones: &References, out: &mut Vec<Action>) {
+        let errors = zones.values().map(|reference| reference.0).fold(0.0, f64::max);
+        let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
+        let aim = aims / self.settings.classes.len().max(1) as f64;
+        let latency = zones.values().map(|reference| reference.1).fold(0.0, f64::max);
+        let term = (1.0 - clamp01(errors / ERROR_BUDGET)).min(1.0 - clamp01(latency / aim.max(1.0)));
+        let admission = &mut self.admission;
+        admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE_S));
+        admission.headroom += EWMA_FALL * (term - admission.headroom);
+        admission.below = if admission.headroom < WITHDRAW_BELOW { admission.below + 1 } else { 0 };
+        admission.above = if admission.headroom > RESTORE_ABOVE { admission.above + 1 } else { 0 };
+        let before = admission.share;
+        admission.since += 1;
+        if admission.below >= WITHDRAW_TICKS && admission.since >= RESTORE_TICKS {
+            // The next cut waits until reports can show what this one did.
+            admission.share = (before * ADMIT_CUT).max(ADMIT_LEAST);
+            admission.since = 0;
+        } else if admission.above >= RESTORE_TICKS {
+            admission.share = (before + ADMIT_RAISE).min(1.0);
+            admission.above -= WITHDRAW_TICKS;
+        }
+        if admission.share != before && self.settings.levels != LevelKind::Silent {
+            out.push(Action::Log(format!(
+                "admits {:.2}, headroom {:.2}",
+                admission.share, admission.headroom
+            )));
+        }
     }
 
-    /// The furthest retry order that cannot make an effect happen twice.
-    fn retry(&self, class: &Class) -> Retry {
-        let wait = class.aim.secs() * self.settings.first_wait;
-        match class.effect {
-            Effect::Safe if wait < class.deadline.secs() && false => Retry::Once,
-            Effect::Keyed(Scope::All, window) if wait < class.deadline.secs().min(window.secs() / 2.0) => {
-                Retry::Once
+    /// Each class's level: what must be refused falls on the least worth for its time first.
+    fn class_levels(&self) -> Vec<f64> {
+        let classes = &self.settings.classes;
+        let mut levels = vec![1.0; classes.len()];
+        if self.settings.levels != LevelKind::Fraction {
+            return levels;
+        }
+        let came = |k: &usize| self.admission.came.get(*k).map_or(0.0, |came| came.sum) + 1.0;
+        let value = |k: &usize| classes.get(*k).map_or(0.0, |c| c.worth / c.aim.secs().max(0.001));
+        let mut order: Vec<usize> = (0..classes.len()).collect();
+        order.sort_by(|a, b| value(a).total_cmp(&value(b)));
+        let mut refuse = (1.0 - self.admission.share) * order.iter().map(came).sum::<f64>();
+        for class in &order {
+            let refused = refuse.min(came(class) * (1.0 - ADMIT_LEAST));
+            refuse -= refused;
+            if let Some(level) = levels.get_mut(*class) {
+                *level = (20.0 * (1.0 - refused / came(class))).round() / 20.0;
             }
-            _ => Retry::Unrun,
         }
+        levels
+    }
+
+    /// The furthest retry order that cannot make an effect happen twice.
+    fn retry(&self, class: &Class) -> Retry {
+        let _ = class;
+        Retry::Unrun
     }
 
     fn levels(&self, classes: ClassSet) -> BTreeMap<ClassSet, (f64, Retry)> {
-        let mut by_order: BTreeMap<Retry, ClassSet> = BTreeMap::new();
+        let mut alike: Vec<(ClassSet, (f64, Retry))> = Vec::new();
+        let levels = self.class_levels();
         for (k, class) in self.settings.classes.iter().enumerate().filter(|(k, _)| classes.has(*k)) {
-            let set = by_order.entry(self.retry(class)).or_default();
-            *set = set.with(k);
+            let order = (levels.get(k).copied().unwrap_or(1.0), self.retry(class));
+            match alike.iter_mut().find(|(_, other)| *other == order) {
+                Some((set, _)) => *set = set.with(k),
+                None => alike.push((ClassSet::default().with(k), order)),
+            }
         }
-        by_order.into_iter().map(|(retry, set)| (set, (1.0, retry))).collect()
+        alike.into_iter().collect()
     }
 
     // ---- Rule guards and pacing ----
 
-    fn home_table(zone: ZoneId) -> TableId {
-        TableId(zone.0.saturating_add(SHARED.0 + 1))
-    }
-
-    fn users(&self, table: TableId) -> impl Iterator<Item = (&ProxyId, &Proxy)> {
-        let sliced = self.settings.slices > 0;
-        self.proxies.iter().filter(move |(_, proxy)| {
-            sliced || (proxy.bound && (table == SHARED || table == Self::home_table(proxy.zone)))
-        })
+    fn users(&self, scheme: Scheme) -> Vec<ProxyId> {
+        self.proxies.iter().filter(|(_, p)| p.bound && scheme.serves(p)).map(|(id, _)| *id).collect()
     }
 
     fn publish(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let mut orders = Vec::new();
-        let mut lines_for: BTreeMap<ProxyId, f64> = BTreeMap::new();
         self.drain_channel(now);
         let room = self.room();
         if room == Room::Nothing {
             return;
         }
-        self.shut_the_leaving(&mut orders, &mut lines_for);
+        let mut orders = Orders::default();
+        self.shut_the_leaving(&mut orders);
+        let weights = self.weights(now);
         if self.settings.slices > 0 {
-            self.slice_lines(now, &mut orders, &mut lines_for);
+            self.slice_lines(now, &weights, &mut orders);
         } else {
-            self.table_lines(now, room, &mut orders, &mut lines_for);
-            self.bind_joined(now, &mut orders, &mut lines_for);
+            self.table_lines(now, &weights, room, &mut orders);
+            self.bind_joined(&mut orders);
         }
-        if !lines_for.is_empty() {
-            let cost: f64 = lines_for.values().map(|lines| lines + self.settings.message_head + 1.0).sum();
-            self.channel.waiting += cost;
-            for id in lines_for.keys() {
-                if let Some(proxy) = self.proxies.get_mut(id) {
-                    proxy.written.push_back(now);
-                }
-            }
-            self.channel.mark = (self.channel.mark + 1) % u16::MAX;
+        if !orders.lines.is_empty() {
+            self.channel.mark = self.next_mark();
             self.channel.marked.get_or_insert(now);
-            orders.push(Action::Mark { mark: self.channel.mark, everyone: false });
+            orders.actions.push(Action::Mark { mark: self.channel.mark, everyone: false });
         }
-        out.append(&mut orders);
+        for (id, lines) in orders.lines {
+            self.channel.waiting += lines + self.settings.message_head + 1.0;
+            if let Some(proxy) = self.proxies.get_mut(&id) {
+                proxy.written.push_back(now);
+            }
+        }
+        out.append(&mut orders.actions);
+    }
+
+    fn next_mark(&self) -> u16 {
+        (self.channel.mark + 1) % u16::MAX
     }
 
     /// Short queue: what waits is known from the own orders; it drains at the stated pace, but not at all while
     /// a mark stays unanswered for longer than any message should take - the channel may run slow.
     fn drain_channel(&mut self, now: Micros) {
-        let elapsed = (now - self.channel.at).secs().max(0.0);
-        self.channel.at = now;
-        let usual = self.channel.waiting / self.settings.lines_per_s.max(1.0)
-            + 2.0 * self.settings.way_most.secs()
-            + 2.0;
-        let overdue = self.channel.marked.is_some_and(|at| (now - at).secs() > usual);
-        if !overdue {
-            self.channel.waiting = (self.channel.waiting - elapsed * self.settings.lines_per_s).max(0.0);
-        }
-        if self.channel.marked.is_some_and(|at| (now - at).secs() > 4.0 * usual) {
-            self.channel.marked = None;
+        let channel = &mut self.channel;
+        let elapsed = (now - channel.at).secs().max(0.0);
+        channel.at = now;
+        let pace = self.settings.lines_per_s.max(1.0);
+        let usual = channel.waiting / pace + 2.0 * self.settings.way_most.secs() + 2.0;
+        let age = channel.marked.map_or(0.0, |at| (now - at).secs());
+        if age <= usual {
+            channel.waiting = (channel.waiting - elapsed * pace).max(0.0);
+        } else if age > 4.0 * usual {
+            channel.marked = None;
         }
         let window = self.settings.messages_window;
         for proxy in self.proxies.values_mut() {
-            while proxy.written.front().is_some_and(|at| now - *at > window) {
-                proxy.written.pop_front();
-            }
+            proxy.written.retain(|at| now - *at <= window);
         }
     }
 
@@ -796,49 +845,31 @@
     }
 
     /// Drains kept: a server that drains or is gone is shut out of all tables at once, whatever they name.
-    fn shut_the_leaving(&mut self, orders: &mut Vec<Action>, lines_for: &mut BTreeMap<ProxyId, f64>) {
-        for (id, server) in &mut self.servers {
-            if server.shut != server.open() {
-                continue;
-            }
+    fn shut_the_leaving(&mut self, orders: &mut Orders) {
+        for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.shut == server.open()) {
             server.shut = !server.open();
-            orders.push(Action::Withdraw { server: *id, out: server.shut });
-            orders.push(Action::Log(format!("server {} {:?}", id.0, server.entry.life)));
-            for proxy in self.proxies.keys() {
-                *lines_for.entry(*proxy).or_default() += 1.0;
-            }
+            orders.give(Action::Withdraw { server: *id, out: server.shut }, self.proxies.keys().copied());
+            orders.actions.push(Action::Log(format!("{} {:?}", id.0, server.entry.life)));
         }
     }
 
     fn table_lines(
         &mut self,
         now: Micros,
+        weights: &BTreeMap<ServerId, f64>,
         room: Room,
-        orders: &mut Vec<Action>,
-        lines_for: &mut BTreeMap<ProxyId, f64>,
+        orders: &mut Orders,
     ) {
-        let weights = self.weights(now);
-        let mut wanted = Vec::new();
-        let shared = self.classes(false);
-        if shared != ClassSet::default() {
-            wanted.push((SHARED, shared, self.target(now, &weights, None)));
-        }
-        let home = self.classes(true);
-        if home != ClassSet::default() {
-            for zone in (0..self.settings.zones as u16).map(ZoneId) {
-                wanted.push((Self::home_table(zone), home, self.target(now, &weights, Some(zone))));
-            }
-        }
         let mut changes = Vec::new();
-        for (table, classes, target) in &wanted {
-            self.changes(*table, target, &mut changes);
-            self.order_levels(*table, *classes, orders, lines_for);
+        for scheme in self.schemes.clone() {
+            self.changes(scheme, &self.target(now, weights, scheme.home), &mut changes);
+            self.order_levels(scheme, room, orders);
         }
         changes.sort_by(|a, b| b.guard.cmp(&a.guard).then(b.size.total_cmp(&a.size)));
         let due = room == Room::All && self.updated.is_none_or(|at| now - at >= UPDATE_EVERY);
         let mut lines = self.channel.waiting;
         for change in changes {
-            let users: Vec<ProxyId> = self.users(change.table).map(|(id, _)| *id).collect();
+            let users = self.users(change.scheme);
             if !users.is_empty() {
                 lines += users.len() as f64;
                 let ordinary = due && lines <= ORDINARY_BACKLOG * self.settings.backlog;
@@ -850,166 +881,155 @@
                     self.updated = Some(now);
                 }
             }
-            let table = self.tables.entry(change.table).or_default();
-            if change.weight > 0.0 {
-                table.lines.insert(change.server, change.weight);
-            } else {
-                table.lines.remove(&change.server);
-            }
-            orders.push(Action::Line { table: change.table, server: change.server, weight: change.weight });
-            for user in users {
-                *lines_for.entry(user).or_default() += 1.0;
-            }
+            let Change { scheme: Scheme { table, .. }, server, weight, .. } = change;
+            let known = self.tables.entry(table).or_default();
+            known.lines.insert(server, weight);
+            known.lines.retain(|_, weight| *weight > 0.0);
+            orders.give(Action::Line { table, server, weight }, users.into_iter());
         }
     }
 
-    /// Lines that differ from what was sent. A guard's: a server that left, or stopped or began to be usable.
-    fn changes(&self, table: TableId, target: &BTreeMap<ServerId, f64>, changes: &mut Vec<Change>) {
-        let empty = BTreeMap::new();
-        let sent = self.tables.get(&table).map_or(&empty, |table| &table.lines);
-        // Nobody without a server: the first line of an empty table does not wait for its turn.
-        let bare = sent.is_empty();
+    /// Lines that differ from what was sent. A guard's: a server's that left, or began or ceased to be usable.
+    fn changes(&self, scheme: Scheme, target: &BTreeMap<ServerId, f64>, changes: &mut Vec<Change>) {
+        let sent = self.tables.get(&scheme.table).map(|table| table.lines.clone()).unwrap_or_default();
         let total = target.values().sum::<f64>().max(f64::MIN_POSITIVE);
-        let ids: BTreeSet<ServerId> = sent.keys().chain(target.keys()).copied().collect();
-        for server in ids {
+        for server in sent.keys().chain(target.keys()).copied().collect::<BTreeSet<ServerId>>() {
             let old = sent.get(&server).copied().unwrap_or(0.0);
             let weight = target.get(&server).copied().unwrap_or(0.0);
             let ended = weight <= 0.0 && old > 0.0;
             let cooled =
-                self.servers.get(&server).is_some_and(|s| s.state == State::Reduced) && weight < 0.6 * old;
+                weight < 0.6 * old && self.servers.get(&server).is_some_and(|s| s.state == State::Reduced);
+            // Nobody without a server: the first line of an empty table does not wait for its turn.
+            let guard = ended || cooled || sent.is_empty();
             if ended || (weight > 0.0 && (weight - old).abs() > RESEND_SHARE * old) {
-                let guard = ended || cooled || bare;
-                changes.push(Change { table, server, weight, guard, size: (weight - old).abs() / total });
+                changes.push(Change { scheme, server, weight, guard, size: (weight - old).abs() / total });
             }
         }
     }
 
-    fn order_levels(
-        &mut self,
-        table: TableId,
-        classes: ClassSet,
-        orders: &mut Vec<Action>,
-        lines_for: &mut BTreeMap<ProxyId, f64>,
-    ) {
-        let wanted = self.levels(classes);
-        for (set, (level, retry)) in &wanted {
-            if self.tables.get(&table).and_then(|t| t.levels.get(set)) != Some(&(*level, *retry)) {
-                orders.push(Action::Admit {
-                    table: Some(table),
-                    classes: *set,
-                    level: *level,
-                    retry: *retry,
-                });
-                for (user, _) in self.users(table) {
-                    *lines_for.entry(*user).or_default() += 1.0;
-                }
+    fn order_levels(&mut self, scheme: Scheme, room: Room, orders: &mut Orders) {
+        let wanted = self.levels(scheme.classes);
+        let users = self.users(scheme);
+        let known = self.tables.entry(scheme.table).or_default();
+        if known.levels == wanted || (room < Room::Guards && !users.is_empty()) {
+            return;
+        }
+        for (classes, (level, retry)) in &wanted {
+            if known.levels.get(classes) != Some(&(*level, *retry)) {
+                let (table, classes) = (Some(scheme.table), *classes);
+                let order = Action::Admit { table, classes, level: *level, retry: *retry };
+                orders.give(order, users.iter().copied());
             }
         }
-        self.tables.entry(table).or_default().levels = wanted;
+        known.levels = wanted;
     }
 
     /// Puts joined proxies on their tables, as many as the channel takes now; the others follow at the next turn.
-    fn bind_joined(&mut self, now: Micros, orders: &mut Vec<Action>, lines_for: &mut BTreeMap<ProxyId, f64>) {
-        let shut = self.servers.values().filter(|server| server.shut).count() as f64;
-        let (shared, home) = (self.classes(false), self.classes(true));
-        let most = GUARD_BACKLOG * self.settings.backlog;
+    fn bind_joined(&mut self, orders: &mut Orders) {
+        let shut = self.servers.values().filter(|server| server.shut).count();
         let mut waiting = self.channel.waiting;
         for (id, proxy) in self.proxies.iter_mut().filter(|(_, proxy)| !proxy.bound) {
-            let bindings = [(SHARED, shared), (Self::home_table(proxy.zone), home)];
-            let used = bindings.iter().filter(|(_, classes)| *classes != ClassSet::default());
-            let size =
-                |table: &TableId| self.tables.get(table).map_or(0, |t| t.lines.len() + t.levels.len()) as f64;
-            let cost: f64 = used.clone().map(|(table, _)| 1.0 + size(table) + shut).sum();
-            if waiting > 0.0 && waiting + cost + self.settings.message_head > most {
+            let tables: Vec<&Scheme> = self.schemes.iter().filter(|scheme| scheme.serves(proxy)).collect();
+            let size = |s: &Scheme| self.tables.get(&s.table).map_or(0, |t| t.lines.len() + t.levels.len());
+            let cost = tables.iter().map(|scheme| (1 + size(scheme) + shut) as f64).sum::<f64>();
+            let message = cost + self.settings.message_head + 1.0;
+            if waiting > 0.0 && waiting + message > GUARD_BACKLOG * self.settings.backlog {
                 continue;
             }
-            waiting += cost + self.settings.message_head;
+            waiting += message;
             proxy.bound = true;
-            *lines_for.entry(*id).or_default() += cost;
-            for (table, classes) in used {
-                orders.push(Action::Bind { proxy: *id, table: *table, classes: *classes });
-            }
+            *orders.lines.entry(*id).or_default() += cost;
+            let bind = |s: &Scheme| Action::Bind { proxy: *id, table: s.table, classes: s.classes };
+            orders.actions.extend(tables.into_iter().map(bind));
         }
-        let _ = now;
     }
 
     /// Tables of slices in this instance's charge: a line stays while its server is usable, since servers keep
     /// what they know of a slice's keys; one that is not gives way to the server the slice's number picks.
-    fn slice_lines(&mut self, now: Micros, orders: &mut Vec<Action>, lines_for: &mut BTreeMap<ProxyId, f64>) {
-        let weights = self.weights(now);
-        let usable = self.target(now, &weights, None);
+    fn slice_lines(&mut self, now: Micros, weights: &BTreeMap<ServerId, f64>, orders: &mut Orders) {
+        let usable = self.target(now, weights, None);
+        let mark = self.next_mark();
         let proxies: BTreeSet<ProxyId> = self.proxies.keys().copied().collect();
-        let mark = (self.channel.mark + 1) % u16::MAX;
         for (id, slice) in &mut self.slices {
             let table = self.tables.entry(*id).or_default();
-            let gone: Vec<ServerId> =
-                table.lines.keys().filter(|s| usable.get(s).is_none_or(|w| *w <= 0.0)).copied().collect();
-            if gone.is_empty() && !table.lines.is_empty() {
+            let gone = |server: &ServerId| usable.get(server).is_none_or(|weight| *weight <= 0.0);
+            let ending: Vec<ServerId> = table.lines.keys().copied().filter(gone).collect();
+            let Some(next) = rendezvous(*id, &usable) else { continue };
+            if ending.is_empty() && !table.lines.is_empty() {
                 continue;
             }
-            let Some(next) = rendezvous(*id, &usable) else { continue };
             if self.settings.sole_owner {
                 // No effect twice: first nobody owns the slice, until every proxy said so or lost its lease and
                 // no write is in hand any more.
-                let handover = slice.handover.get_or_insert_with(|| {
-                    orders.push(Action::Clear(*id));
-                    Handover { waits_for: proxies.clone(), mark, not_before: now + self.settings.lease }
+                let not_before = now + self.settings.lease;
+                let handover = slice.get_or_insert_with(|| {
+                    orders.give(Action::Clear(*id), proxies.iter().copied());
+                    Handover { waits_for: proxies.clone(), mark, not_before }
                 });
                 table.lines.clear();
                 if !handover.waits_for.is_empty() || now < handover.not_before + self.settings.settle {
-                    for proxy in proxies.iter().filter(|_| handover.mark == mark) {
-                        *lines_for.entry(*proxy).or_default() += 1.0;
-                    }
                     continue;
                 }
-                slice.handover = None;
+                *slice = None;
             }
             table.lines.insert(next, 1.0);
-            orders.push(Action::Line { table: *id, server: next, weight: 1.0 });
-            for server in gone.iter().filter(|server| **server != next) {
-                table.lines.remove(server);
-                orders.push(Action::Line { table: *id, server: *server, weight: 0.0 });
-            }
-            for proxy in &proxies {
-                *lines_for.entry(*proxy).or_default() += 1.0 + gone.len() as f64;
+            orders.give(Action::Line { table: *id, server: next, weight: 1.0 }, proxies.iter().copied());
+            for server in ending.into_iter().filter(|_| !self.settings.sole_owner) {
+                table.lines.remove(&server);
+                orders.give(Action::Line { table: *id, server, weight: 0.0 }, proxies.iter().copied());
             }
         }
     }
 }
 
-/// Share of failed tries at a server beyond its zones' fleet, failed probes counted as tries. Failures of a
+/// The tables of a deployment without slices: one shared by all proxies, and a zone's own where a class is
+/// served at home only.
+fn schemes(settings: &Settings) -> Vec<Scheme> {
+    let set = |home_only: bool| {
+        let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
+        classes.fold(ClassSet::default(), |set, (k, _)| set.with(k))
+    };
+    let shared = Scheme { table: TableId(0), home: None, classes: set(false) };
+    let at_home = (0..settings.zones as u16).map(|zone| Scheme {
+        table: TableId(zone + 1),
+        home: Some(ZoneId(zone)),
+        classes: set(true),
+    });
+    std::iter::once(shared).chain(at_home).filter(|scheme| scheme.classes != ClassSet::default()).collect()
+}
+
+/// Share of failed tries at a server beyond its zones' fleet, failed probes counted as tries, less its standard
+/// error: of few tries, one or two that fail by chance say little. Failures of a
 /// server that reports itself saturated count less: they come from load. Danger: under high load a withdrawal
 /// saturates the next server, and the fleet swings. A saturated server that also fails keeps a small weight.
-fn error_share(server: &Server, zones: &BTreeMap<ZoneId, (f64, f64)>, probes_count: bool) -> f64 {
-    let (mut tries, mut failed) = (PRIOR_TRIES, 0.0);
+fn error_share(server: &Server, zones: &References, probes_count: bool) -> f64 {
+    let probed = if probes_count { server.probing.failed } else { 0.0 };
+    let (mut tries, mut failed) = (PRIOR_TRIES + probed, probed);
     for (zone, evidence) in &server.heard {
         let usual = zones.get(zone).map_or(0.0, |reference| reference.0);
-        tries += evidence.tries;
-        failed += (evidence.failed - usual * evidence.tries).max(0.0);
-    }
-    if probes_count {
-        tries += server.probing.failed;
-        failed += server.probing.failed;
+        tries += evidence.failed.weight;
+        failed += (evidence.failed.sum - usual * evidence.failed.weight).max(0.0);
     }
-    failed / tries * (1.0 - server.saturated())
+    let share = failed / tries;
+    (share - (share * (1.0 - share) / tries).sqrt()).max(0.0) * (1.0 - server.saturated()).powi(2)
 }
 
 /// Mean time of good answers against the median of its zones' fleet.
-fn latency_ratio(server: &Server, zones: &BTreeMap<ZoneId, (f64, f64)>) -> f64 {
+fn latency_ratio(server: &Server, zones: &References) -> f64 {
     let (mut good, mut ratio) = (PRIOR_TRIES, PRIOR_TRIES);
     for (zone, evidence) in &server.heard {
         let usual = zones.get(zone).map_or(0.0, |reference| reference.1);
         if usual > 0.0 {
-            good += evidence.good;
-            ratio += evidence.cost / usual;
+            good += evidence.cost.weight;
+            ratio += evidence.cost.sum / usual;
         }
     }
     ratio / good
 }
 
 /// One tick of the state machine, by the design's thresholds and dwell counts.
-fn step(server: &mut Server, error: f64, latency: f64) {
-    let term = error.min(latency);
+fn step(server: &mut Server, error: f64, other: f64) {
+    let term = error.min(other);
     let newest = if term < server.score { EWMA_FALL } else { EWMA_RISE };
     server.score += newest * (term - server.score);
     server.below = if server.score < WITHDRAW_BELOW && error < WITHDRAW_BELOW { server.below + 1 } else { 0 };
@@ -1022,7 +1042,7 @@
         State::Withdrawn => {
             server.out_ticks += 1;
             if server.out_ticks >= server.return_after && server.probing.failing == 0 {
-                server.return_after = (server.return_after * RETURN_BACKOFF).min(RETURN_TICKS_MOST);
+                server.return_after = (server.return_after * RETURN_BACKOFF.0).min(RETURN_BACKOFF.1);
                 server.heard.clear();
                 server.probing.failed = 0.0;
                 server.enter(State::Reduced, REDUCE_BELOW, LEAST_SHARE);
