--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -53,6 +53,11 @@
 const SPEED_HALF_LIFE_S: f64 = 12.0;
 /// Bounds of the correction of a listed weight by measured speed: beyond, the report is doubted.
 const SPEED_BOUNDS: (f64, f64) = (0.3, 2.5);
+/// One timed probe tells as much of a speed as so many load reports, which mix requests of all costs.
+const PROBE_WORTH: f64 = 20.0;
+/// Power of its speed by which a probe counts: quick ones did not wait.
+const QUICK: i32 = 3;
+const QUICK_NOW: i32 = 0;
 /// Load reports mixed in at the median before a speed is believed.
 const PRIOR_REPORTS: f64 = 4.0;
 /// Bounds of a server's usual latency against the fleet's.
@@ -73,6 +78,8 @@
 const ADMIT_CUT: f64 = 0.75;
 const ADMIT_RAISE: f64 = 0.1;
 const ADMIT_LEAST: f64 = 0.1;
+/// Share of a zone's requests that leans to its own servers; the rest goes to all by weight.
+const LEAN: f64 = 0.9;
 /// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
 const ORDINARY_BACKLOG: f64 = 0.3;
 const GUARD_BACKLOG: f64 = 0.9;
@@ -123,14 +130,21 @@
     cost: Fading,
 }
 
-/// What load reports tell of a server's speed: service time, and requests served over core use.
+/// What probes and load reports tell of a server's speed: probes a second of their own time, service time, and
+/// requests served over core use.
 #[derive(Clone, Copy, Debug, Default)]
 struct Speed {
+    probes: Fading,
+    probed: f64,
     service: Fading,
     per_util: Fading,
 }
 
 impl Speed {
+    fn probe(&mut self, speed: f64, quick: i32) {
+        self.probes.add(speed.powi(quick + 1), speed.powi(quick));
+        self.probed += 1.0;
+    }
     fn add(&mut self, load: &Load) {
         if let Some(ms) = load.latency_ms.filter(|ms| *ms > 0.0) {
             // Shared cores stretch the service time of a busy server: what it shows while none waits tells more.
@@ -142,9 +156,17 @@
         }
     }
     fn fade(&mut self, elapsed: f64, half_life: f64) {
+        self.probes.fade(elapsed, half_life);
+        self.probed *= 0.5f64.powf(elapsed / half_life);
         self.service.fade(elapsed, half_life);
         self.per_util.fade(elapsed, half_life);
     }
+    /// The speed itself, in a unit that all servers of a deployment share, and how many reports tell it. A probe
+    /// does the same work everywhere: its time, less the way there, tells most.
+    fn own(&self) -> Option<(f64, f64)> {
+        let probes = self.probes.mean().map(|speed| (speed, PROBE_WORTH * self.probed));
+        probes.or_else(|| self.service.mean().map(|ms| (1.0 / ms, self.service.weight)))
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -165,6 +187,7 @@
     speed_now: Speed,
     busy: Fading,
     last_load: Load,
+    quickest: f64,
     usual: Fading,
     probing: Probing,
     state: State,
@@ -228,7 +251,14 @@
         }
     }
 
-    fn probed(&mut self, end: ProbeEnd) {
+    fn probed(&mut self, end: ProbeEnd, took: Micros, way: f64) {
+        if end == ProbeEnd::Done {
+            let speed = 1.0 / (took.secs() - way).max(took.secs() / 4.0).max(1e-6);
+            // Where probes wait like requests the quick ones tell the speed.
+            self.speed.probe(speed, QUICK);
+            self.speed_now.probe(speed, QUICK_NOW);
+            self.quickest = if self.quickest > 0.0 { self.quickest.min(took.secs()) } else { took.secs() };
+        }
         let probing = &mut self.probing;
         probing.asked = None;
         match end {
@@ -261,6 +291,7 @@
 #[derive(Clone, Debug, Default)]
 struct Proxy {
     zone: ZoneId,
+    came: Fading,
     bound: bool,
     written: VecDeque<Micros>,
 }
@@ -271,17 +302,19 @@
     levels: BTreeMap<ClassSet, (f64, Retry)>,
 }
 
-/// Which table serves whom: the shared one, or a zone's own for classes that stay at home.
+/// Which table serves whom: one for all proxies, or one for those of a zone; with that zone's servers only, for
+/// classes that stay at home.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Scheme {
     table: TableId,
-    home: Option<ZoneId>,
+    zone: Option<ZoneId>,
+    home_only: bool,
     classes: ClassSet,
 }
 
 impl Scheme {
     fn serves(&self, proxy: &Proxy) -> bool {
-        self.home.is_none_or(|zone| zone == proxy.zone)
+        self.zone.is_none_or(|zone| zone == proxy.zone)
     }
 }
 
@@ -366,6 +399,9 @@
     slices: BTreeMap<TableId, Option<Handover>>,
 }
 
+/// Weights by server.
+type Lines = BTreeMap<ServerId, f64>;
+
 /// By zone: the fleet's median error share and latency.
 type References = BTreeMap<ZoneId, (f64, f64)>;
 
@@ -422,6 +458,7 @@
             out.push(Action::Timer { id: TICK_TIMER, after: TICK });
             self.tick(now, &mut out);
         }
+        self.probe(now, &mut out);
         self.publish(now, &mut out);
         out
     }
@@ -436,8 +473,9 @@
         match event {
             Event::Members(ListKind::Lost, _) => self.subscribe_at = Some(now + SUBSCRIBE_AGAIN),
             Event::Members(kind, entries) => self.members(now, *kind, entries),
-            Event::Joined { proxy, zone, rate: _ } => {
-                self.proxies.insert(*proxy, Proxy { zone: *zone, ..Proxy::default() });
+            Event::Joined { proxy, zone, rate } => {
+                let came = Fading { sum: *rate, weight: 1.0 };
+                self.proxies.insert(*proxy, Proxy { zone: *zone, came, ..Proxy::default() });
             }
             Event::Left(proxy) => {
                 self.proxies.remove(proxy);
@@ -457,13 +495,20 @@
                     server.report(load);
                 }
             }
-            Event::Probed { server, end, load, .. } => {
+            Event::Probed { server, end, took, load } => {
+                let way = self.way(server);
                 if let Some(server) = self.servers.get_mut(server) {
-                    server.probed(*end);
+                    server.probed(*end, *took, way);
                     server.report(load);
                 }
             }
             Event::Usage { class, came, .. } | Event::SliceUsage { class, came, .. } => {
+                if let Event::Usage { proxy, period, .. } = event {
+                    if let Some(proxy) = self.proxies.get_mut(proxy) {
+                        let classes = self.settings.classes.len().max(1) as f64;
+                        proxy.came.add(*came, period.secs() / classes);
+                    }
+                }
                 if let Some(class) = self.admission.came.get_mut(usize::from(class.0)) {
                     class.add(*came, 1.0);
                 }
@@ -553,8 +598,8 @@
             server.fresh_good = 0.0;
             server.fade(elapsed);
         }
+        self.proxies.values_mut().for_each(|proxy| proxy.came.fade(elapsed, SPEED_HALF_LIFE_S));
         self.admit(elapsed, &zones, out);
-        self.probe(now, out);
     }
 
     /// What strikes all servers alike - a stalled proxy, zone or supervisor, an overload - moves the medians and
@@ -592,35 +637,53 @@
 
     // ---- Weights ----
 
+    /// The further way of a probe to a server outside the own zone, in seconds: how much longer the quickest
+    /// probes take there than at servers of the same kind at home.
+    fn way(&self, server: &ServerId) -> f64 {
+        let home = |s: &Server| s.entry.zone == self.settings.zone;
+        if self.servers.get(server).is_none_or(home) {
+            return 0.0;
+        }
+        let timed = self.open().map(|(_, s)| s).filter(|s| s.quickest > 0.0);
+        let further = timed.clone().filter(|s| !home(s)).filter_map(|far| {
+            let alike = timed.clone().filter(|s| home(s) && s.entry.kind == far.entry.kind);
+            quantile(alike.map(|s| s.quickest), 0.5).map(|near| far.quickest - near)
+        });
+        quantile(further, 0.5).unwrap_or(0.0).max(0.0)
+    }
+
     /// How fast each server is for its listed weight, against the fleet's median, over the longer or the shorter
-    /// time; nothing where no report tells. A kind's speed is known early, from all its servers; each server's
-    /// own only after many reports.
+    /// time; nothing where nothing tells. A kind's speed is known early, from all its servers.
     fn speeds(&self, of: fn(&Server) -> &Speed) -> BTreeMap<ServerId, f64> {
         let known = |reports: f64| reports / (reports + PRIOR_REPORTS);
-        let measured: Vec<(ServerId, u32, bool, f64, f64)> = self
-            .open()
-            .filter_map(|(id, server)| {
-                let (kind, speed) = (server.entry.kind, of(server));
-                let by_use = speed
-                    .per_util
-                    .mean()
-                    .map(|v| (*id, kind, true, v / server.size(), speed.per_util.weight));
-                by_use.or_else(|| {
-                    speed.service.mean().map(|ms| (*id, kind, false, 1.0 / ms, speed.service.weight))
-                })
-            })
-            .collect();
+        let kinds: BTreeSet<u32> = self.open().map(|(_, server)| server.entry.kind).collect();
+        // Requests served at full use tell a capacity, whatever the listed weight means; a speed tells it only
+        // where listed weights are sizes: a registered capacity already holds the kind's.
+        let capacity = |kind: Option<u32>| {
+            let alike = self.open().map(|(_, s)| s).filter(|s| kind.is_none_or(|kind| kind == s.entry.kind));
+            let uses = alike.clone().map(|s| (of(s).per_util.sum, of(s).per_util.weight, s.size()));
+            let (served, used, size) = uses.fold((0.0, 0.0, 0.0), |a, u| (a.0 + u.0, a.1 + u.1, a.2 + u.1 * u.2));
+            if size > 0.0 && served > 0.0 {
+                return Some((served / size, used));
+            }
+            let speeds = alike.filter(|_| self.settings.listed != Listed::Nominal).filter_map(|s| of(s).own());
+            let reports = speeds.clone().map(|(_, reports)| reports).sum();
+            quantile(speeds.map(|(speed, _)| speed), 0.5).map(|speed| (speed, reports))
+        };
+        let fleet = capacity(None);
         let mut speeds = BTreeMap::new();
-        for (id, kind, by_use, value, reports) in &measured {
-            let fleet = measured.iter().filter(|m| m.2 == *by_use);
-            let alike = fleet.clone().filter(|m| m.1 == *kind);
-            let usual = quantile(alike.clone().map(|m| m.3), 0.5).unwrap_or(*value);
-            let median = quantile(fleet.map(|m| m.3), 0.5).unwrap_or(usual);
-            // Requests served at full use tell a capacity, whatever the listed weight means; a service time tells
-            // a speed, and a registered capacity already holds the kind's.
-            let counted = *by_use || self.settings.listed != Listed::Nominal;
-            let of_kind = if counted { (usual / median).powf(known(alike.map(|m| m.4).sum())) } else { 1.0 };
-            speeds.insert(*id, of_kind * (value / usual).powf(known(*reports)));
+        for kind in kinds {
+            let of_kind = match (capacity(Some(kind)), fleet) {
+                (Some((value, reports)), Some((fleet, _))) => (value / fleet).powf(known(reports)),
+                _ => 1.0,
+            };
+            let alike = self.open().filter(|(_, server)| server.entry.kind == kind);
+            let usual = quantile(alike.clone().filter_map(|(_, s)| of(s).own()).map(|(speed, _)| speed), 0.5);
+            for (id, server) in alike {
+                let own = of(server).own().zip(usual);
+                let own = own.map_or(1.0, |((speed, reports), usual)| (speed / usual).powf(known(reports)));
+                speeds.insert(*id, of_kind * own);
+            }
         }
         speeds
     }
@@ -660,16 +723,14 @@
         kept
     }
 
-    /// The lines a table should have. `home`: only that zone's servers, for classes that stay at home.
-    fn target(
-        &self,
-        now: Micros,
-        weights: &BTreeMap<ServerId, f64>,
-        home: Option<ZoneId>,
-    ) -> BTreeMap<ServerId, f64> {
-        let here = self.open().filter(|(_, server)| home.is_none_or(|zone| server.entry.zone == zone));
-        let mut lines: BTreeMap<ServerId, f64> =
-            here.clone().map(|(id, _)| (*id, weights.get(id).copied().unwrap_or(0.0))).collect();
+    /// The lines a table should have.
+    fn target(&self, now: Micros, weights: &Lines, zone: Option<ZoneId>, home_only: bool) -> Lines {
+        let here = self.open().filter(|(_, server)| !home_only || zone == Some(server.entry.zone));
+        let parts = if home_only { BTreeMap::new() } else { zone.map_or(BTreeMap::new(), |z| self.lean(weights, z)) };
+        let weight = |id: &ServerId, server: &Server| {
+            weights.get(id).copied().unwrap_or(0.0) * parts.get(&server.entry.zone).copied().unwrap_or(1.0)
+        };
+        let mut lines: Lines = here.clone().map(|(id, server)| (*id, weight(id, server))).collect();
         if lines.values().all(|weight| *weight <= 0.0) {
             // Nobody without a server: a table all of whose servers were withdrawn gets them back, at the part
             // they can surely do.
@@ -679,10 +740,39 @@
         lines
     }
 
+    /// By zone of the servers: the factor on their weights in a zone's table. What the zone's own servers can do
+    /// stays at home, what is beyond goes where others have more than their own zone brings; a little goes
+    /// everywhere, so that every table names all servers and all are heard of.
+    fn lean(&self, weights: &Lines, zone: ZoneId) -> BTreeMap<ZoneId, f64> {
+        let mut can: BTreeMap<ZoneId, f64> = BTreeMap::new();
+        let mut comes: BTreeMap<ZoneId, f64> = BTreeMap::new();
+        for (id, server) in self.open() {
+            *can.entry(server.entry.zone).or_default() += weights.get(id).copied().unwrap_or(0.0);
+        }
+        for proxy in self.proxies.values() {
+            *comes.entry(proxy.zone).or_default() += proxy.came.mean().unwrap_or(0.0);
+        }
+        let (all_can, all_comes) = (can.values().sum::<f64>(), comes.values().sum::<f64>());
+        if all_can <= 0.0 || all_comes <= 0.0 {
+            return BTreeMap::new();
+        }
+        let can: BTreeMap<ZoneId, f64> = can.into_iter().map(|(zone, can)| (zone, can / all_can)).collect();
+        let comes = |zone: &ZoneId| comes.get(zone).copied().unwrap_or(0.0) / all_comes;
+        let stays = can.get(&zone).map_or(0.0, |can| can / comes(&zone).max(1e-6)).min(1.0);
+        let spare = |zone: &ZoneId| can.get(zone).map_or(0.0, |can| (can - comes(zone)).max(0.0));
+        let all_spare = can.keys().map(spare).sum::<f64>();
+        let part = |other: &ZoneId, can: f64| {
+            let away = if all_spare > 0.0 { (1.0 - stays) * spare(other) / all_spare } else { 0.0 };
+            let leaning = if *other == zone { stays } else { away };
+            LEAN * leaning / can.max(1e-6) + 1.0 - LEAN
+        };
+        can.iter().map(|(other, can)| (*other, part(other, *can))).collect()
+    }
+
     /// No cold server pushed over: a cold one's part of the table stays under what makes it fall, with all
     /// proxies together, few other servers left, and clients coming again and again: tries for each good answer
     /// tell how far demand is beyond what is served.
-    fn spare_the_cold(&self, now: Micros, lines: &mut BTreeMap<ServerId, f64>) {
+    fn spare_the_cold(&self, now: Micros, lines: &mut Lines) {
         let listed: f64 = self.open().map(|(_, server)| server.size()).sum();
         let seen = self.open().flat_map(|(_, server)| server.heard.values());
         let tries: f64 = seen.clone().map(|evidence| evidence.failed.weight).sum();
@@ -753,17 +843,13 @@
         levels
     }
 
-    /// The furthest retry order that cannot make an effect happen twice.
-    fn retry(&self, class: &Class) -> Retry {
-        let _ = class;
-        Retry::Unrun
-    }
-
     fn levels(&self, classes: ClassSet) -> BTreeMap<ClassSet, (f64, Retry)> {
         let mut alike: Vec<(ClassSet, (f64, Retry))> = Vec::new();
         let levels = self.class_levels();
-        for (k, class) in self.settings.classes.iter().enumerate().filter(|(k, _)| classes.has(*k)) {
-            let order = (levels.get(k).copied().unwrap_or(1.0), self.retry(class));
+        for (k, level) in levels.into_iter().enumerate().filter(|(k, _)| classes.has(*k)) {
+            // Only after proof that the first try did not run: nothing takes effect twice, and a fleet short of
+            // room is not given the same work again.
+            let order = (level, Retry::Unrun);
             match alike.iter_mut().find(|(_, other)| *other == order) {
                 Some((set, _)) => *set = set.with(k),
                 None => alike.push((ClassSet::default().with(k), order)),
@@ -856,13 +942,13 @@
     fn table_lines(
         &mut self,
         now: Micros,
-        weights: &BTreeMap<ServerId, f64>,
+        weights: &Lines,
         room: Room,
         orders: &mut Orders,
     ) {
         let mut changes = Vec::new();
         for scheme in self.schemes.clone() {
-            self.changes(scheme, &self.target(now, weights, scheme.home), &mut changes);
+            self.changes(scheme, &self.target(now, weights, scheme.zone, scheme.home_only), &mut changes);
             self.order_levels(scheme, room, orders);
         }
         changes.sort_by(|a, b| b.guard.cmp(&a.guard).then(b.size.total_cmp(&a.size)));
@@ -890,7 +976,7 @@
     }
 
     /// Lines that differ from what was sent. A guard's: a server's that left, or began or ceased to be usable.
-    fn changes(&self, scheme: Scheme, target: &BTreeMap<ServerId, f64>, changes: &mut Vec<Change>) {
+    fn changes(&self, scheme: Scheme, target: &Lines, changes: &mut Vec<Change>) {
         let sent = self.tables.get(&scheme.table).map(|table| table.lines.clone()).unwrap_or_default();
         let total = target.values().sum::<f64>().max(f64::MIN_POSITIVE);
         for server in sent.keys().chain(target.keys()).copied().collect::<BTreeSet<ServerId>>() {
@@ -946,8 +1032,8 @@
 
     /// Tables of slices in this instance's charge: a line stays while its server is usable, since servers keep
     /// what they know of a slice's keys; one that is not gives way to the server the slice's number picks.
-    fn slice_lines(&mut self, now: Micros, weights: &BTreeMap<ServerId, f64>, orders: &mut Orders) {
-        let usable = self.target(now, weights, None);
+    fn slice_lines(&mut self, now: Micros, weights: &Lines, orders: &mut Orders) {
+        let usable = self.target(now, weights, None, false);
         let mark = self.next_mark();
         let proxies: BTreeSet<ProxyId> = self.proxies.keys().copied().collect();
         for (id, slice) in &mut self.slices {
@@ -982,20 +1068,21 @@
     }
 }
 
-/// The tables of a deployment without slices: one shared by all proxies, and a zone's own where a class is
-/// served at home only.
+/// The tables of a deployment without slices: one shared by all proxies, and a zone's own where a class is served
+/// at home only. Where crossing zones has a price and no other instance's proxies are unseen, each zone has a
+/// shared table of its own that leans home.
 fn schemes(settings: &Settings) -> Vec<Scheme> {
     let set = |home_only: bool| {
         let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
         classes.fold(ClassSet::default(), |set, (k, _)| set.with(k))
     };
-    let shared = Scheme { table: TableId(0), home: None, classes: set(false) };
-    let at_home = (0..settings.zones as u16).map(|zone| Scheme {
-        table: TableId(zone + 1),
-        home: Some(ZoneId(zone)),
-        classes: set(true),
-    });
-    std::iter::once(shared).chain(at_home).filter(|scheme| scheme.classes != ClassSet::default()).collect()
+    let zones = || (0..settings.zones as u16).map(|zone| Some(ZoneId(zone)));
+    let leans = settings.cross_price > 0.0 && settings.instances == 1;
+    let shared: Vec<_> = if leans { zones().collect() } else { vec![None] };
+    let tables = shared.into_iter().map(|zone| (zone, false)).chain(zones().map(|zone| (zone, true)));
+    let scheme = |(k, (zone, home_only))| Scheme { table: TableId(k), zone, home_only, classes: set(home_only) };
+    let schemes = (0..).zip(tables).map(scheme);
+    schemes.filter(|scheme| scheme.classes != ClassSet::default()).collect()
 }
 
 /// Share of failed tries at a server beyond its zones' fleet, failed probes counted as tries, less its standard
@@ -1061,7 +1148,7 @@
 }
 
 /// The server a slice falls to: the highest of the weighted scores drawn from both numbers.
-fn rendezvous(slice: TableId, usable: &BTreeMap<ServerId, f64>) -> Option<ServerId> {
+fn rendezvous(slice: TableId, usable: &Lines) -> Option<ServerId> {
     let score = |server: &ServerId, weight: f64| {
         let mut x = (u64::from(slice.0) << 32) | u64::from(server.0);
         for _ in 0..2 {
