--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -75,9 +75,13 @@
 /// moment to begin before tallies, seconds late, tell of it.
 const COLD_DEMAND: f64 = 4.0;
 /// Factor and step by which the admitted share falls and rises, and its least.
-const ADMIT_CUT: f64 = 0.75;
-const ADMIT_RAISE: f64 = 0.1;
+const ADMIT_CUT: (f64, f64) = (0.5, 0.7);
+const ADMIT_RAISE: (f64, f64) = (0.02, 0.2);
+/// A mean answer time of this share of the aims leaves the fleet no headroom: many answers are late by then.
+const LATE_SHARE: f64 = 0.6;
 const ADMIT_LEAST: f64 = 0.1;
+/// Ticks from one cut to the next: tries end, are counted and reported seconds after they were let in.
+const ADMIT_DWELL: u32 = 9;
 /// Share of a zone's requests that leans to its own servers; the rest goes to all by weight.
 const LEAN: f64 = 0.9;
 /// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
@@ -377,6 +381,7 @@
     below: u32,
     above: u32,
     since: u32,
+    too_much: f64,
     share: f64,
     came: Vec<Fading>,
 }
@@ -430,7 +435,7 @@
             proxies: BTreeMap::new(),
             tables: BTreeMap::new(),
             channel: Channel::default(),
-            admission: Admission { headroom: 1.0, below: 0, above: 0, since: RESTORE_TICKS, share: 1.0, came },
+            admission: Admission { headroom: 1.0, below: 0, above: 0, since: ADMIT_DWELL, too_much: 1.0, share: 1.0, came },
             ticked: Micros(0),
             updated: None,
             subscribe_at: None,
@@ -758,7 +763,9 @@
         }
         let can: BTreeMap<ZoneId, f64> = can.into_iter().map(|(zone, can)| (zone, can / all_can)).collect();
         let comes = |zone: &ZoneId| comes.get(zone).copied().unwrap_or(0.0) / all_comes;
-        let stays = can.get(&zone).map_or(0.0, |can| can / comes(&zone).max(1e-6)).min(1.0);
+        let bound = self.bound_home();
+        let stays = can.get(&zone).map_or(0.0, |can| can / comes(&zone).max(1e-6));
+        let stays = ((stays - bound) / (1.0 - bound)).clamp(0.0, 1.0);
         let spare = |zone: &ZoneId| can.get(zone).map_or(0.0, |can| (can - comes(zone)).max(0.0));
         let all_spare = can.keys().map(spare).sum::<f64>();
         let part = |other: &ZoneId, can: f64| {
@@ -769,6 +776,15 @@
         can.iter().map(|(other, can)| (*other, part(other, *can))).collect()
     }
 
+    /// Share of the work that must stay at home, by what came of each class, its aim standing for its work.
+    fn bound_home(&self) -> f64 {
+        let classes = self.settings.classes.iter().zip(&self.admission.came);
+        let work = |only: bool| -> f64 {
+            classes.clone().filter(|(c, _)| c.home_only || !only).map(|(c, came)| came.sum * c.aim.secs()).sum()
+        };
+        (work(true) / work(false).max(1e-6)).min(0.9)
+    }
+
     /// No cold server pushed over: a cold one's part of the table stays under what makes it fall, with all
     /// proxies together, few other servers left, and clients coming again and again: tries for each good answer
     /// tell how far demand is beyond what is served.
@@ -795,9 +811,14 @@
     fn admit(&mut self, elapsed: f64, zones: &References, out: &mut Vec<Action>) {
         let errors = zones.values().map(|reference| reference.0).fold(0.0, f64::max);
         let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
-        let aim = aims / self.settings.classes.len().max(1) as f64;
+        let aim = LATE_SHARE * aims / self.settings.classes.len().max(1) as f64;
         let latency = zones.values().map(|reference| reference.1).fold(0.0, f64::max);
-        let term = (1.0 - clamp01(errors / ERROR_BUDGET)).min(1.0 - clamp01(latency / aim.max(1.0)));
+        // Tries that fail or are late tell of seconds ago; saturation, where it is reported, tells of now. Only
+        // both together mean that too much is let in.
+        let seen = quantile(self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight), 0.5);
+        let seen = seen.map(|seen| clamp01(1.5 * seen));
+        let failing = clamp01(errors / ERROR_BUDGET).max(clamp01(latency / aim.max(1.0)));
+        let term = 1.0 - failing * (0.5 + 0.5 * seen.unwrap_or(1.0));
         let admission = &mut self.admission;
         admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE_S));
         admission.headroom += EWMA_FALL * (term - admission.headroom);
@@ -805,12 +826,14 @@
         admission.above = if admission.headroom > RESTORE_ABOVE { admission.above + 1 } else { 0 };
         let before = admission.share;
         admission.since += 1;
-        if admission.below >= WITHDRAW_TICKS && admission.since >= RESTORE_TICKS {
+        if admission.below >= WITHDRAW_TICKS && admission.since >= ADMIT_DWELL {
             // The next cut waits until reports can show what this one did.
-            admission.share = (before * ADMIT_CUT).max(ADMIT_LEAST);
-            admission.since = 0;
+            // Deeper the more tries fail: a fleet that is full answers nobody until it has worked off.
+            admission.share = (before * (1.0 - errors).clamp(ADMIT_CUT.0, ADMIT_CUT.1)).max(ADMIT_LEAST);
+            (admission.since, admission.too_much) = (0, before);
         } else if admission.above >= RESTORE_TICKS {
-            admission.share = (before + ADMIT_RAISE).min(1.0);
+            let near = before + ADMIT_RAISE.1 >= admission.too_much;
+            admission.share = (before + if near { ADMIT_RAISE.0 } else { ADMIT_RAISE.1 }).min(1.0);
             admission.above -= WITHDRAW_TICKS;
         }
         if admission.share != before && self.settings.levels != LevelKind::Silent {
