--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -78,6 +78,8 @@
 /// A cold server's part is set as if demand were this multiple of what the listed fleet can do: room for a
 /// bad moment to begin before tallies, seconds late, tell of it.
 const COLD_DEMAND: f64 = 4.0;
+/// Tries for each good answer beyond which a cold server is kept out where proxies avoid servers by themselves.
+const COLD_OUT: f64 = 1.5;
 /// Factor and step by which the admitted share falls and rises, and its least.
 const ADMIT_CUT: (f64, f64) = (0.5, 0.7);
 const ADMIT_RAISE: (f64, f64) = (0.02, 0.2);
@@ -174,12 +176,13 @@
             self.quickest = if self.quickest > 0.0 { self.quickest.min(took.secs()) } else { took.secs() };
         }
         let probing = &mut self.probing;
-        probing.asked = None;
+        let asked = probing.asked.take();
         match end {
             ProbeEnd::Done => (probing.failing, probing.answered) = (0, true),
             ProbeEnd::Busy | ProbeEnd::Other => {}
             ProbeEnd::Error | ProbeEnd::TimedOut | ProbeEnd::Unreachable => {
-                (probing.failing, probing.answered, probing.next) = (probing.failing + 1, false, Micros(0));
+                (probing.failing, probing.answered) = (probing.failing + 1, false);
+                probing.next = asked.map_or(probing.next, |asked| asked + TICK);
                 probing.failed += PROBE_TRIES * f64::from(probing.failing);
             }
         }
@@ -574,13 +577,17 @@
         let seen = self.open().flat_map(|(_, server)| server.heard.values());
         let tries: f64 = seen.clone().map(|evidence| evidence.failed.weight).sum();
         let good: f64 = seen.map(|evidence| evidence.cost.weight).sum();
-        let demand = COLD_DEMAND * ((tries + PRIOR_TRIES) / (good + PRIOR_TRIES)).max(1.0);
+        let beyond = ((tries + PRIOR_TRIES) / (good + PRIOR_TRIES)).max(1.0);
+        let demand = COLD_DEMAND * beyond;
+        // Proxies that avoid failing servers by themselves send all they have to a cold one, whatever its weight,
+        // once the others fail: it stays out until most tries succeed, or until it is warm.
+        let out = self.settings.proxy_ejects_after > 0 && (beyond > COLD_OUT || tries <= 0.0);
         let warmth = |id: &ServerId| self.servers.get(id).map_or(1.0, |s| s.warmth(now, &self.settings));
         let warm: f64 = lines.iter().filter(|(id, _)| warmth(id) >= 1.0).map(|(_, weight)| weight).sum();
         for (id, weight) in lines.iter_mut().filter(|(id, _)| warm > 0.0 && warmth(id) < 1.0) {
             let own = self.servers.get(id).map_or(0.0, Server::size);
             let part = (self.settings.fall_multiple / demand * warmth(id) * own / listed).min(0.9);
-            *weight = weight.min(warm * part / (1.0 - part));
+            *weight = if out { 0.0 } else { weight.min(warm * part / (1.0 - part)) };
         }
     }
 
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -237,3 +237,41 @@
         }
     }
 }
+
+/// Found by the search for broken rules: a building came back cold while the rest timed out. Proxies avoided all
+/// failing servers by themselves and sent everything to the cold one, whose line had a thousandth of the weight.
+#[test]
+fn a_cold_server_stays_out_while_most_tries_fail_and_proxies_avoid_servers_themselves() {
+    let mut avoiding = settings();
+    avoiding.proxy_ejects_after = 3;
+    let mut world = World::new(avoiding, 8, 4);
+    world.run(3, &healthy(8, &[3]));
+    let failing: Vec<Event> = (0..8).filter(|id| *id != 3).map(|id| heard(id, 8.0, 7.0, 900.0)).collect();
+    world.run(6, &failing);
+    let started = Some(world.now);
+    world.send(&[Event::Members(ListKind::Changes, vec![Entry { started, ..entry(3) }])]);
+    world.run(4, &failing);
+    assert_eq!(world.weight(3), 0.0);
+    assert!((0..8).any(|id| world.weight(id) > 0.0));
+    world.run(8, &healthy(8, &[]));
+    assert!(world.weight(3) > 0.0, "it comes in once tries succeed");
+}
+
+/// A server that refuses probes at once was asked again at once, thousands of times a day.
+#[test]
+fn a_server_that_refuses_probes_is_asked_once_a_tick() {
+    let mut world = World::new(settings(), 4, 2);
+    let mut asked = 0;
+    for _ in 0..200 {
+        let refused = Event::Probed {
+            server: ServerId(1),
+            end: ProbeEnd::Unreachable,
+            took: Micros(200),
+            load: Load::default(),
+        };
+        let actions = world.send(&[refused]);
+        asked += actions.iter().filter(|a| **a == Action::Probe(ServerId(1))).count();
+        world.now = world.now + ms(10);
+    }
+    assert!((2..=5).contains(&asked), "asked {asked} times in 2 s");
+}
