--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -78,7 +78,8 @@
 /// A cold server's part is set as if demand were this multiple of what the listed fleet can do: room for a
 /// bad moment to begin before tallies, seconds late, tell of it.
 const COLD_DEMAND: f64 = 4.0;
-/// Tries for each good answer beyond which a cold server is kept out where proxies avoid servers by themselves.
+/// Tries for each good answer beyond which a cold server is kept out where proxies avoid servers by
+/// themselves.
 const COLD_OUT: f64 = 1.5;
 /// Factor and step by which the admitted share falls and rises, and its least.
 const ADMIT_CUT: (f64, f64) = (0.5, 0.7);
@@ -579,8 +580,8 @@
         let good: f64 = seen.map(|evidence| evidence.cost.weight).sum();
         let beyond = ((tries + PRIOR_TRIES) / (good + PRIOR_TRIES)).max(1.0);
         let demand = COLD_DEMAND * beyond;
-        // Proxies that avoid failing servers by themselves send all they have to a cold one, whatever its weight,
-        // once the others fail: it stays out until most tries succeed, or until it is warm.
+        // Proxies that avoid failing servers by themselves send all they have to a cold one, whatever its
+        // weight, once the others fail: it stays out until most tries succeed, or until it is warm.
         let out = self.settings.proxy_ejects_after > 0 && (beyond > COLD_OUT || tries <= 0.0);
         let warmth = |id: &ServerId| self.servers.get(id).map_or(1.0, |s| s.warmth(now, &self.settings));
         let warm: f64 = lines.iter().filter(|(id, _)| warmth(id) >= 1.0).map(|(_, weight)| weight).sum();
