--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -81,16 +81,14 @@
 /// Tries for each good answer beyond which a cold server is kept out where proxies avoid servers by
 /// themselves.
 const COLD_OUT: f64 = 1.5;
-/// Factor and step by which the admitted share falls and rises, and its least.
-const ADMIT_CUT: (f64, f64) = (0.5, 0.7);
-const ADMIT_RAISE: (f64, f64) = (0.02, 0.2);
-/// A mean answer time of this share of the aims leaves the fleet no headroom: many answers are late by
-/// then.
-const LATE_SHARE: f64 = 0.6;
+/// The fleet's mean saturation from which requests are refused, and the share refused when all is
+/// saturated.
+const REFUSE_FROM: f64 = 0.2;
+const REFUSE_MOST: f64 = 0.9;
+/// Least admitted share of a class.
 const ADMIT_LEAST: f64 = 0.1;
-/// Ticks from one cut to the next: tries end, are counted and reported seconds after they were let in.
-const ADMIT_DWELL: u32 = 9;
-const ADMIT_CALM: u32 = 3;
+/// Without load reports: a mean answer time of this share of the aims means that many answers are late.
+const LATE_SHARE: f64 = 0.6;
 /// Share of a zone's requests that leans to its own servers; the rest goes to all by weight.
 const LEAN: f64 = 0.9;
 /// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
@@ -154,17 +152,15 @@
     }
 
     fn report(&mut self, load: &Load) {
-        if *load == Load::default() || *load == self.last_load {
-            return; // No report, or the one known already: servers refresh theirs only now and then.
-        }
-        self.last_load = *load;
-        self.speed.report(load);
-        self.speed_now.report(load);
         let full = |value: f64, (from, to): (f64, f64)| clamp01((value - from) / (to - from));
-        if let Some(queue) = load.queue {
-            self.busy.add(full(queue, BUSY_QUEUE), 1.0);
-        } else if let Some(util) = load.util {
-            self.busy.add(full(util, BUSY_UTIL), 1.0);
+        let by_use = load.util.map(|util| full(util, BUSY_UTIL));
+        if let Some(busy) = load.queue.map(|queue| full(queue, BUSY_QUEUE)).or(by_use) {
+            self.busy.add(busy, 1.0);
+        }
+        // Servers refresh their reports only now and then: one that repeats the last is no news of their
+        // speed.
+        if std::mem::replace(&mut self.last_load, *load) != *load {
+            self.speed.report(load);
         }
     }
 
@@ -228,7 +224,7 @@
     /// An instance that knows its settings and nothing else.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let came = vec![Fading::default(); settings.classes.len()];
-        let admission = Admission { came, too_much: 1.0, ..Admission::default() };
+        let admission = Admission { came, ..Admission::default() };
         Policy { schemes: schemes(&settings), settings, seed, admission, ..Policy::default() }
     }
 
@@ -594,44 +590,29 @@
 
     // ---- Admission and retries ----
 
-    /// The fleet's headroom, by the same terms and thresholds as a server's, decides what share is let in.
+    /// The fleet's headroom decides what share is let in: by what servers report of their saturation, seen
+    /// within a second or two; where nothing is reported, by tries that fail or are late, seconds later.
     /// Danger: clients come again, abandoned work goes on, and a fleet once full stays full. Nothing is
-    /// shed while headroom remains; a short burst passes within the dwell.
+    /// refused while headroom remains, and no level outlasts its cause, since the share follows the
+    /// saturation itself.
     fn admit(&mut self, elapsed: f64, zones: &References, out: &mut Vec<Action>) {
-        let worst = |of: fn(&(f64, f64)) -> f64| zones.values().map(of).fold(0.0, f64::max);
+        let told = self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight);
+        let (busy, told) = told.fold((0.0, 0.0), |(sum, n), busy| (sum + busy, n + 1.0));
         let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
-        let late =
-            worst(|zone| zone.1) / (LATE_SHARE * aims / self.settings.classes.len().max(1) as f64).max(1.0);
-        // Tries that fail or are late tell of seconds ago; saturation, where it is reported, tells of now.
-        let busy = self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight);
-        let busy = quantile(busy, 0.5).map_or(1.0, |busy| clamp01(1.5 * busy));
-        let failed = worst(|zone| zone.0);
-        let term = clamp01(failed / ERROR_BUDGET).max(clamp01(late)) * (0.3 + 0.7 * busy);
+        let late = (LATE_SHARE * aims / self.settings.classes.len().max(1) as f64).max(1.0);
+        let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(clamp01(zone.1 / late));
+        let term = if told > 0.0 { busy / told } else { zones.values().map(failing).fold(0.0, f64::max) };
         let admission = &mut self.admission;
         admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE_S));
-        admission.strain += EWMA_FALL * (term - admission.strain);
-        admission.strained = if 1.0 - admission.strain < WITHDRAW_BELOW { admission.strained + 1 } else { 0 };
-        admission.calm = if 1.0 - admission.strain > RESTORE_ABOVE { admission.calm + 1 } else { 0 };
-        admission.since = admission.since.saturating_add(1);
-        let before = 1.0 - admission.refused;
-        let mut share = before;
-        if admission.strained >= WITHDRAW_TICKS && (admission.since > ADMIT_DWELL || before >= 1.0) {
-            // The next cut waits until reports can show what this one did; it is deeper the more tries
-            // fail, since a fleet that is full answers nobody until it has worked off.
-            share = (before * (1.0 - failed).clamp(ADMIT_CUT.0, ADMIT_CUT.1)).max(ADMIT_LEAST);
-            if before >= 1.0 || std::mem::take(&mut admission.raised) {
-                admission.too_much = before;
-            }
-            admission.since = 0;
-        } else if admission.calm >= ADMIT_CALM && before < 1.0 {
-            let near = before + ADMIT_RAISE.1 >= admission.too_much;
-            share = (before + if near { ADMIT_RAISE.0 } else { ADMIT_RAISE.1 }).min(1.0);
-            (admission.raised, admission.calm) = (true, admission.calm - WITHDRAW_TICKS);
-        }
-        if share != before && self.settings.levels != LevelKind::Silent {
-            out.push(Action::Log(format!("admits {share:.2}, headroom {:.2}", 1.0 - admission.strain)));
-        }
-        admission.refused = 1.0 - share;
+        let newest = if term > admission.strain { EWMA_FALL } else { EWMA_RISE };
+        admission.strain += newest * (term - admission.strain);
+        let refused = REFUSE_MOST * clamp01((admission.strain - REFUSE_FROM) / (1.0 - REFUSE_FROM));
+        // Told in steps of a tenth: what is logged is what changes.
+        let step = |refused: f64| (10.0 * refused).round();
+        if step(refused) != step(admission.refused) && self.settings.levels != LevelKind::Silent {
+            out.push(Action::Log(format!("refuses {:.1}, fleet saturated {:.2}", refused, admission.strain)));
+        }
+        admission.refused = refused;
     }
 
     /// Each class's level: what must be refused falls on the least worth for its time first.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -189,17 +189,12 @@
     pub not_before: Micros,
 }
 
-/// The fleet as a whole: what it lacks of headroom, smoothed, dwell counts, and the share of requests
-/// refused.
+/// The fleet as a whole: its saturation, smoothed, the share of requests refused, and what came of each
+/// class.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Admission {
     pub strain: f64,
-    pub strained: u32,
-    pub calm: u32,
-    pub since: u32,
     pub refused: f64,
-    pub too_much: f64,
-    pub raised: bool,
     pub came: Vec<Fading>,
 }
 
--- /dev/null
+++ b/crates/policy/tests/admission.rs
@@ -0,0 +1,74 @@
+//! Levels follow the fleet's saturation; nothing is refused while headroom remains.
+
+mod common;
+use chutegrade_policy::interface::*;
+use common::*;
+
+fn two_classes() -> Settings {
+    let mut settings = settings();
+    settings.classes[0].worth = 1.0;
+    settings.classes[1].worth = 9.0;
+    settings
+}
+
+/// A second of a fleet whose servers report this queue, with demand of both classes.
+fn queued(servers: u32, queue: f64) -> Vec<Event> {
+    let mut events: Vec<Event> = (0..servers)
+        .map(|id| {
+            let load = Load { queue: Some(queue), latency_ms: Some(100.0), ..Load::default() };
+            let (zone, server, period) = (ZoneId(0), ServerId(id), ms(1000));
+            Event::Heard { zone, server, tries: 8.0, failed: 0.0, mean_ms: 300.0, period, load }
+        })
+        .collect();
+    events.extend((0..2).map(|class| Event::Usage {
+        proxy: ProxyId(0),
+        class: ClassId(class),
+        came: 50.0,
+        failed: 0.0,
+        period: ms(1000),
+    }));
+    events
+}
+
+#[test]
+fn a_saturated_fleet_refuses_the_class_of_least_worth_first_and_lets_it_in_again() {
+    let mut world = World::new(two_classes(), 8, 4);
+    world.run(5, &queued(8, 0.0));
+    assert_eq!((world.levels[&0], world.levels[&1]), (1.0, 1.0));
+    world.run(2, &queued(8, 3.0));
+    assert!(world.levels[&0] < 1.0, "refused within two seconds: {:?}", world.levels);
+    assert_eq!(world.levels[&1], 1.0);
+    world.run(10, &queued(8, 30.0));
+    assert!(world.levels[&0] <= 0.2 && world.levels[&1] < 0.5, "{:?}", world.levels);
+    world.run(8, &queued(8, 0.0));
+    assert_eq!((world.levels[&0], world.levels[&1]), (1.0, 1.0), "no level outlasts its cause");
+}
+
+#[test]
+fn one_saturated_server_is_no_reason_to_refuse() {
+    let mut world = World::new(two_classes(), 8, 4);
+    let mut events = queued(8, 0.0);
+    let load = Load { queue: Some(40.0), ..Load::default() };
+    let (zone, server, period) = (ZoneId(0), ServerId(3), ms(1000));
+    events.push(Event::Heard { zone, server, tries: 8.0, failed: 0.0, mean_ms: 300.0, period, load });
+    world.run(15, &events);
+    assert_eq!((world.levels[&0], world.levels[&1]), (1.0, 1.0));
+}
+
+#[test]
+fn where_levels_are_ignored_none_is_lowered() {
+    let mut silent = two_classes();
+    silent.levels = LevelKind::Silent;
+    let mut world = World::new(silent, 8, 4);
+    world.run(10, &queued(8, 30.0));
+    assert_eq!((world.levels[&0], world.levels[&1]), (1.0, 1.0));
+    assert!(!world.actions.iter().any(|a| matches!(a, Action::Log(text) if text.starts_with("refuses"))));
+}
+
+#[test]
+fn without_load_reports_failing_and_late_tries_tell() {
+    let mut world = World::new(two_classes(), 8, 4);
+    let jammed: Vec<Event> = (0..8).map(|id| heard(id, 8.0, 5.0, 1500.0)).collect();
+    world.run(8, &jammed);
+    assert!(world.levels[&0] < 0.5, "{:?}", world.levels);
+}
