--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -46,7 +46,7 @@
 /// Score and ceiling of a new server (design).
 const NEW_SCORE: f64 = 0.5;
 /// Growth of a returning server's ceiling with each tick of good reports.
-const CEILING_GROWTH: f64 = 1.5;
+const CEILING_GROWTH: f64 = 2.0;
 /// A weight is sent again after moving by this share of the weight last sent. The design starts at a fifth;
 /// a climb that ended there would leave a fifth of a healthy server unused for good.
 const RESEND_SHARE: f64 = 0.1;
@@ -365,15 +365,19 @@
         let slowed = |server: &Server| Some(server.speed.by_probes()?.0 / server.speed_now.by_probes()?.0);
         let slowed_fleet = quantile(self.open().filter_map(|(_, server)| slowed(server)), 0.5).unwrap_or(1.0);
         let fleet_saturated = quantile(self.open().map(|(_, s)| s.saturated()), 0.5).unwrap_or(0.0);
+        // While the fleet itself has no headroom, work moved off one server jams the next: terms count by
+        // what the others can take. It may hurt while a server fails under overload; refusals then make the
+        // room.
+        let spare = 1.0 - fleet_saturated;
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
-            let error = 1.0 - clamp01(error_share(server, &zones, probes_count) / ERROR_BUDGET);
+            let error = 1.0 - spare * clamp01(error_share(server, &zones, probes_count) / ERROR_BUDGET);
             // A probe's time now against its usual, by what befell the fleet, shows a slowed machine
             // whatever its model and load. Answer times hold waiting too and must be further off to count,
             // but they show also what a probe does not meet.
             let answers = latency_ratio(server, &zones);
             let ratio =
                 slowed(server).map_or(answers, |now| (now / slowed_fleet).max(answers * ANSWERS_COUNT));
-            let latency = 1.0 - clamp01(ratio / LATENCY_BUDGET);
+            let latency = 1.0 - spare * clamp01(ratio / LATENCY_BUDGET);
             let load = 1.0 - LOAD_TERM_DEPTH * clamp01(server.saturated() - fleet_saturated);
             let before = server.state;
             step(server, error, latency.min(load));
@@ -382,7 +386,6 @@
                 let state = format!("{:?} score {:.2}", server.state, server.score);
                 out.push(Action::Log(format!("{} {state}: {terms}", id.0)));
             }
-            server.fresh_good = 0.0;
             server.fade(elapsed);
         }
         self.proxies.values_mut().for_each(|proxy| proxy.came.fade(elapsed, SPEED_HALF_LIFE_S));
@@ -891,6 +894,7 @@
     if server.fresh_good >= 1.0 && error > RESTORE_ABOVE {
         let top = if server.state == State::Full { 1.0 } else { NEW_SCORE };
         server.ceiling = (server.ceiling * CEILING_GROWTH).min(top.max(server.ceiling));
+        server.fresh_good = 0.0; // Kept until it counts: a small weight brings less than one answer a tick.
     }
     match server.state {
         State::Withdrawn => {
--- a/crates/policy/tests/states.rs
+++ b/crates/policy/tests/states.rs
@@ -160,3 +160,43 @@
     }
     assert!(world.weight(3) < 3.0);
 }
+
+/// Seen in an incident: a returned server had so small a weight that less than one answer a tick came back, and its
+/// ceiling stayed at a tenth while the others were jammed.
+#[test]
+fn a_returned_server_climbs_on_few_answers_too() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(5, &healthy(8, &[]));
+    let mut events = healthy(8, &[3]);
+    events.push(heard(3, 8.0, 8.0, 0.0));
+    world.run(4, &events);
+    assert_eq!(world.weight(3), 0.0);
+    let mut few = healthy(8, &[3]);
+    few.push(heard(3, 0.4, 0.0, 200.0));
+    world.run(30, &few);
+    assert!(world.weight(3) >= 3.6, "weight {}", world.weight(3));
+}
+
+/// Seen in the same incident: under a common overload slow probes took the weight from servers that still had room.
+#[test]
+fn while_the_whole_fleet_is_saturated_no_server_is_reduced_for_slowness() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(10, &healthy(8, &[]));
+    let before = world.weight(2);
+    world.slow_probes.insert(2);
+    world.slowness = 20;
+    for second in 0..6 {
+        let jammed: Vec<Event> = healthy(8, &[])
+            .into_iter()
+            .map(|event| match event {
+                Event::Heard { zone, server, tries, failed, mean_ms, period, .. } => {
+                    let load = Load { queue: Some(30.0 + f64::from(second)), ..Load::default() };
+                    Event::Heard { zone, server, tries, failed, mean_ms, period, load }
+                }
+                other => other,
+            })
+            .collect();
+        world.run(1, &jammed);
+    }
+    assert!(world.weight(2) > 0.5 * before, "weight {} after {before}", world.weight(2));
+}
