--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -89,6 +89,9 @@
 const ADMIT_LEAST: f64 = 0.1;
 /// Without load reports: a mean answer time of this share of the aims means that many answers are late.
 const LATE_SHARE: f64 = 0.6;
+/// Demand that cold servers alone must bear, as a multiple of the size of all servers known: tries come
+/// again.
+const COLD_ALONE: f64 = 2.0;
 /// Share of a zone's requests that leans to its own servers; the rest goes to all by weight.
 const LEAN: f64 = 0.9;
 /// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
@@ -536,7 +539,8 @@
             // part they can surely do.
             lines = here.map(|(id, s)| (*id, s.size() * s.warmth(now, &self.settings))).collect();
         }
-        self.spare_the_cold(now, &mut lines);
+        let known = self.servers.iter().filter(|(_, server)| !home_only || zone == Some(server.entry.zone));
+        self.spare_the_cold(now, self.size(known), &mut lines);
         lines
     }
 
@@ -572,7 +576,7 @@
     /// No cold server pushed over: a cold one's part of the table stays under what makes it fall, with all
     /// proxies together, few other servers left, and clients coming again and again: tries for each good
     /// answer tell how far demand is beyond what is served.
-    fn spare_the_cold(&self, now: Micros, lines: &mut Lines) {
+    fn spare_the_cold(&self, now: Micros, known: f64, lines: &mut Lines) {
         let listed = self.size(self.open());
         let seen = self.open().flat_map(|(_, server)| server.heard.values());
         let tries: f64 = seen.clone().map(|evidence| evidence.failed.weight).sum();
@@ -583,7 +587,23 @@
         // weight, once the others fail: it stays out until most tries succeed, or until it is warm.
         let out = self.settings.proxy_ejects_after > 0 && (beyond > COLD_OUT || tries <= 0.0);
         let warmth = |id: &ServerId| self.servers.get(id).map_or(1.0, |s| s.warmth(now, &self.settings));
-        let warm: f64 = lines.iter().filter(|(id, _)| warmth(id) >= 1.0).map(|(_, weight)| weight).sum();
+        let warm = |lines: &Lines| -> f64 {
+            lines.iter().filter(|(id, _)| warmth(id) >= 1.0).map(|(_, weight)| weight).sum()
+        };
+        if warm(lines) <= 0.0 {
+            // Warm servers that were withdrawn are still to be picked before cold ones alone.
+            for (id, weight) in lines.iter_mut().filter(|(id, _)| warmth(id) >= 1.0) {
+                *weight = LEAST_SHARE * self.servers.get(id).map_or(0.0, Server::size);
+            }
+        }
+        let warm = warm(lines);
+        // Cold servers alone, against the work of all servers ever known here: nobody is sent to them until
+        // they can surely bear it. It may refuse more than needed when a whole deployment has just been
+        // started.
+        let bear: f64 = lines.keys().filter_map(|id| Some(warmth(id) * self.servers.get(id)?.size())).sum();
+        if warm <= 0.0 && bear * self.settings.fall_multiple < COLD_ALONE * known {
+            lines.values_mut().for_each(|weight| *weight = 0.0);
+        }
         for (id, weight) in lines.iter_mut().filter(|(id, _)| warm > 0.0 && warmth(id) < 1.0) {
             let own = self.servers.get(id).map_or(0.0, Server::size);
             let part = (self.settings.fall_multiple / demand * warmth(id) * own / listed).min(0.9);
