--- /dev/null
+++ b/crates/adapter/tests/codec.rs
@@ -0,0 +1,143 @@
+//! The wire's forms, in numbers of the project's own.
+
+use chutegrade_adapter::codec::{parse, write, Fault, Message};
+use chutegrade_policy::interface::*;
+
+fn event(line: &str) -> Event {
+    match parse(line) {
+        Ok(Message::Event(event)) => event,
+        other => panic!("{line}: {other:?}"),
+    }
+}
+
+#[test]
+fn frame_lines_are_read() {
+    assert_eq!(parse("frame\tframe=7\tatTimeMs=1250.5"), Ok(Message::Frame(Micros(1_250_500), 7)));
+    assert_eq!(parse("your_turn"), Ok(Message::Turn));
+    assert_eq!(parse("at\tsupervisor=2"), Ok(Message::At(2)));
+    assert_eq!(parse("teardown"), Ok(Message::Teardown));
+    assert_eq!(parse("something_new\tx=1"), Ok(Message::Unknown));
+}
+
+#[test]
+fn events_are_read_in_any_order_of_their_parts_and_unknown_parts_are_skipped() {
+    let tally =
+        "tally\tserver=901\tlocality=2\tbad=3\ttotal=17\tperiodLenMs=900.0\tnovel=x\tcostTimeMs=61.5\t\
+                 healthInfo=queue:4,mood:9,util:0.5";
+    let load = Load { queue: Some(4.0), util: Some(0.5), ..Load::default() };
+    assert_eq!(
+        event(tally),
+        Event::Heard {
+            zone: ZoneId(2),
+            server: ServerId(901),
+            tries: 17.0,
+            failed: 3.0,
+            mean_ms: 61.5,
+            period: Micros(900_000),
+            load
+        }
+    );
+    assert_eq!(
+        event("health\tcostTimeMs=2.25\tserver=901\tending=econnreset"),
+        Event::Probed {
+            server: ServerId(901),
+            end: ProbeEnd::Unreachable,
+            took: Micros(2250),
+            load: Load::default()
+        }
+    );
+    assert_eq!(
+        event("joined\tclientLb=12\tlocality=1\tweight=3.5\tactive=1"),
+        Event::Joined { proxy: ProxyId(12), zone: ZoneId(1), rate: 3.5 }
+    );
+    assert_eq!(event("lost_stream\tclientLb=12"), Event::Left(ProxyId(12)));
+    assert_eq!(event("ring\thandle=31"), Event::Timer(31));
+    assert_eq!(event("tenure\tactive=0\tmapId=5"), Event::Tenure { table: TableId(5), given: false });
+    assert_eq!(event("whisper\tfrom=1\tcontents=AQI="), Event::Peer { from: 1, data: vec![1, 2] });
+    assert_eq!(event("whisper\tfrom=1\tcontents=-"), Event::Peer { from: 1, data: vec![] });
+    let took = Micros(88_000);
+    let receipt = Event::Receipt { proxy: ProxyId(3), mark: 9, took };
+    assert_eq!(event("receipt\tclientLb=3\tgen=9\tcostTimeMs=88"), receipt);
+}
+
+#[test]
+fn list_rows_are_read() {
+    assert_eq!(parse("discovery\tgen=3\thow=total\trows=2"), Ok(Message::List(ListKind::Complete, 2)));
+    assert_eq!(parse("discovery\tgen=3\thow=lost"), Ok(Message::List(ListKind::Lost, 0)));
+    let row = "row\tserver=44\tlocality=1\tfamilyType=2\tcluster=6\tlifecycle=terminating\tweight=2.5\tupSinceMs=70.5";
+    let entry = Entry {
+        server: ServerId(44),
+        zone: ZoneId(1),
+        kind: 2,
+        cell: 6,
+        life: Lifecycle::Draining,
+        weight: 2.5,
+        started: Some(Micros(70_500)),
+    };
+    assert_eq!(parse(row), Ok(Message::Row(entry)));
+}
+
+#[test]
+fn settings_are_read_and_missing_ones_read_as_nothing() {
+    let line = r#"begin	nonce64=99	env={"classes":[{"aimMs":400,"hardLimitMs":1500.0,"worth":2,
+        "effect":"idempotency_key","dedupScope":"zone","windowMs":6000}],"zones":["x","y"],"locality":1,
+        "familyInfo":{"homeOnly":[true],"levelKind":"per_second","linesPerS":500,"messagesMost":"many"},
+        "limits":{"probes":true},"peersTotal":3,"weights":"nominal"}"#
+        .replace('\n', " ");
+    let Ok(Message::Begin(99, settings)) = parse(&line) else { panic!("{:?}", parse(&line)) };
+    assert_eq!(settings.classes.len(), 1);
+    assert_eq!(settings.classes[0].effect, Effect::Keyed(Scope::Zone, Micros(6_000_000)));
+    assert!(settings.classes[0].home_only && settings.probes);
+    assert_eq!((settings.zones, settings.zone, settings.instances), (2, ZoneId(1), 3));
+    assert_eq!((settings.levels, settings.listed), (LevelKind::PerSecond, Listed::Nominal));
+    assert_eq!((settings.lines_per_s, settings.messages_most), (500.0, 0));
+}
+
+#[test]
+fn what_is_malformed_is_an_error() {
+    for line in [
+        "tally\tlocality=0\tserver=1\ttotal=-3\tbad=0\tcostTimeMs=0\tperiodLenMs=1",
+        "tally\tlocality=0\tserver=1\ttotal=NaN\tbad=0\tcostTimeMs=0\tperiodLenMs=1",
+        "joined\tclientLb=x\tlocality=0\tweight=1",
+        "discovery\tgen=1\thow=sideways\trows=1",
+        "whisper\tfrom=1\tcontents=%%%",
+        "begin\tnonce64=1\tenv=[1]",
+        "begin\tnonce64=1\tenv={broken",
+        "row\tserver=1\tlifecycle=in_service\tweight=inf",
+    ] {
+        assert!(parse(line).is_err(), "{line}");
+    }
+    assert_eq!(parse("lost_stream"), Err(Fault::Missing("lost_stream".to_string(), "clientLb")));
+}
+
+#[test]
+fn actions_are_written() {
+    let table = TableId(3);
+    let classes = ClassSet::default().with(0).with(2);
+    let cases = [
+        (
+            Action::Line { table, server: ServerId(8), weight: 1.25 },
+            "endpoint\tmapId=3\tserver=8\tweight=1.25",
+        ),
+        (Action::Clear(table), "wipe\tmapId=3"),
+        (Action::Bind { proxy: ProxyId(6), table, classes }, "point\tclientLb=6\tmapId=3\tclassBits=5"),
+        (Action::Withdraw { server: ServerId(8), out: true }, "suspend\tserver=8\tactive=1"),
+        (
+            Action::Admit { table: None, classes, level: 0.5, retry: Retry::Unrun },
+            "allow\tallowance=0.5\tclassBits=5\tmapId=65535\tsecondTry=1",
+        ),
+        (Action::Mark { mark: 4, everyone: false }, "ask_receipt\tgen=4\tactive=0"),
+        (Action::Probe(ServerId(8)), "ping\tserver=8"),
+        (Action::Subscribe(true), "subscribe\tactive=1"),
+        (Action::FetchList, "list_all"),
+        (Action::Timer { id: 1, after: Micros(1500) }, "arm\thandle=1\tfromNowMs=1.5"),
+        (Action::Tell { peer: None, data: vec![1, 2] }, "notify\trecipient=all\tcontents=AQI="),
+        (Action::Log("two\tparts\n".to_string()), "write_log\twhat=two parts "),
+    ];
+    for (action, line) in cases {
+        assert_eq!(write(&action).as_deref(), Ok(line));
+    }
+    for weight in [f64::NAN, f64::INFINITY, -0.5] {
+        assert!(write(&Action::Line { table, server: ServerId(8), weight }).is_err());
+    }
+}
