--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -85,6 +85,8 @@
 /// saturated.
 const REFUSE_FROM: f64 = 0.2;
 const REFUSE_MOST: f64 = 0.9;
+/// A rate that no proxy meets, in requests a second: all are let in.
+const UNLIMITED: f64 = 1e6;
 /// Least admitted share of a class.
 const ADMIT_LEAST: f64 = 0.1;
 /// Without load reports: a mean answer time of this share of the aims means that many answers are late.
@@ -638,20 +640,25 @@
         admission.refused = refused;
     }
 
-    /// Each class's level: what must be refused falls on the least worth for its time first.
+    /// Each class's level: what must be refused falls on the least worth for its time first. Where levels
+    /// are rates, a class's is what is let in of the demand at the busiest proxy: tables are shared.
     fn class_levels(&self) -> Vec<f64> {
         let classes = &self.settings.classes;
-        let mut levels = vec![1.0; classes.len()];
-        let mut order: Vec<(usize, f64)> =
-            self.admission.came.iter().map(|came| came.sum + 1.0).enumerate().collect();
+        let rates = self.settings.levels == LevelKind::PerSecond;
+        let mut levels = vec![if rates { UNLIMITED } else { 1.0 }; classes.len()];
+        let came = self.admission.came.iter().map(|came| came.sum + 1.0);
+        let all: f64 = came.clone().sum();
+        let busiest = self.proxies.values().filter_map(|proxy| proxy.came.mean()).fold(0.0, f64::max);
+        let mut order: Vec<(usize, f64)> = came.enumerate().collect();
         let value = |k: usize| classes.get(k).map_or(0.0, |class| class.worth / class.aim.secs().max(0.001));
         order.sort_by(|a, b| value(a.0).total_cmp(&value(b.0)));
-        let mut refuse = self.admission.refused * order.iter().map(|(_, came)| came).sum::<f64>();
-        for (k, came) in order.into_iter().filter(|_| self.settings.levels == LevelKind::Fraction) {
+        let mut refuse = self.admission.refused * all;
+        for (k, came) in order.into_iter().filter(|_| self.settings.levels != LevelKind::Silent) {
             let refused = refuse.min(came * (1.0 - ADMIT_LEAST));
             refuse -= refused;
-            if let Some(level) = levels.get_mut(k) {
-                *level = (20.0 * (1.0 - refused / came)).round() / 20.0;
+            let share = (20.0 * (1.0 - refused / came)).round() / 20.0;
+            if let Some(level) = levels.get_mut(k).filter(|_| share < 1.0) {
+                *level = if rates { (share * busiest * came / all).max(ADMIT_LEAST).ceil() } else { share };
             }
         }
         levels
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -72,3 +72,16 @@
     world.run(8, &jammed);
     assert!(world.levels[&0] < 0.5, "{:?}", world.levels);
 }
+
+#[test]
+fn where_levels_are_rates_all_is_let_in_until_the_fleet_is_saturated() {
+    let mut rates = two_classes();
+    rates.levels = LevelKind::PerSecond;
+    let mut world = World::new(rates, 8, 4);
+    world.run(5, &queued(8, 0.0));
+    assert!(world.levels.values().all(|level| *level > 1000.0), "{:?}", world.levels);
+    world.run(8, &queued(8, 30.0));
+    assert!(world.levels[&0] < 50.0, "{:?}", world.levels);
+    world.run(8, &queued(8, 0.0));
+    assert!(world.levels.values().all(|level| *level > 1000.0), "{:?}", world.levels);
+}
