--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -39,6 +39,8 @@
 /// Mean queue and core use between which a server counts as saturated in part, then wholly.
 const BUSY_QUEUE: (f64, f64) = (1.0, 4.0);
 const BUSY_UTIL: (f64, f64) = (0.85, 0.95);
+/// The same for the time of probes, as a multiple of the usual, at the fleet's median.
+const BUSY_STRETCH: (f64, f64) = (1.1, 2.2);
 /// How far saturation beyond the fleet's lowers the score: a busy server gets less work, not none.
 const LOAD_TERM_DEPTH: f64 = 0.75;
 /// Least weight of a reduced server and weight of a returning one, as a share of the listed (design).
@@ -157,7 +159,6 @@
     }
 
     fn report(&mut self, load: &Load) {
-        let full = |value: f64, (from, to): (f64, f64)| clamp01((value - from) / (to - from));
         let by_use = load.util.map(|util| full(util, BUSY_UTIL));
         if let Some(busy) = load.queue.map(|queue| full(queue, BUSY_QUEUE)).or(by_use) {
             self.busy.add(busy, 1.0);
@@ -367,7 +368,6 @@
         }
         let zones = self.references();
         let probes_count = self.probes_count();
-        let slowed = |server: &Server| Some(server.speed.by_probes()?.0 / server.speed_now.by_probes()?.0);
         let slowed_fleet = quantile(self.open().filter_map(|(_, server)| slowed(server)), 0.5).unwrap_or(1.0);
         let fleet_saturated = quantile(self.open().map(|(_, s)| s.saturated()), 0.5).unwrap_or(0.0);
         // While the fleet itself has no headroom, work moved off one server jams the next: terms count by
@@ -626,7 +626,12 @@
         let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
         let late = (LATE_SHARE * aims / self.settings.classes.len().max(1) as f64).max(1.0);
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(clamp01(zone.1 / late));
-        let term = if told > 0.0 { busy / told } else { zones.values().map(failing).fold(0.0, f64::max) };
+        // A queue is told only once all slots are in work, and by then every answer is late: where core use
+        // is not reported, the time of probes shows how many share a core.
+        let shared = |server: &Server| server.speed.service.mean().and(slowed(server));
+        let shared = quantile(self.open().filter_map(|(_, server)| shared(server)), 0.5).unwrap_or(1.0);
+        let failing = zones.values().map(failing).fold(0.0, f64::max);
+        let term = if told > 0.0 { (busy / told).max(full(shared, BUSY_STRETCH)) } else { failing };
         let admission = &mut self.admission;
         admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE_S));
         let newest = if term > admission.strain { EWMA_FALL } else { EWMA_RISE };
@@ -882,6 +887,16 @@
     schemes.filter(|scheme| scheme.classes != ClassSet::default()).collect()
 }
 
+/// How far a value lies on the way from none to full.
+fn full(value: f64, (from, to): (f64, f64)) -> f64 {
+    clamp01((value - from) / (to - from))
+}
+
+/// How many times longer probes take now than they usually do.
+fn slowed(server: &Server) -> Option<f64> {
+    Some(server.speed.by_probes()?.0 / server.speed_now.by_probes()?.0)
+}
+
 /// Share of failed tries at a server beyond its zones' fleet, failed probes counted as tries, less its
 /// standard error: of few tries, one or two that fail by chance say little. Failures of a server that
 /// reports itself saturated count less: they come from load. Danger: under high load a withdrawal saturates
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -85,3 +85,18 @@
     world.run(8, &queued(8, 0.0));
     assert!(world.levels.values().all(|level| *level > 1000.0), "{:?}", world.levels);
 }
+
+/// Found by hunting: servers with many slots took in four times what their cores could do before a queue was told.
+#[test]
+fn probes_that_take_longer_everywhere_tell_of_saturation_before_a_queue_does() {
+    let mut world = World::new(two_classes(), 8, 4);
+    world.run(8, &queued(8, 0.0));
+    assert_eq!(world.levels[&0], 1.0);
+    world.slow_probes.extend(0..8);
+    world.slowness = 4;
+    world.run(4, &queued(8, 0.0));
+    assert!(world.levels[&0] < 0.8, "{:?}", world.levels);
+    world.slow_probes.clear();
+    world.run(10, &queued(8, 0.0));
+    assert_eq!(world.levels[&0], 1.0);
+}
