--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -758,12 +758,16 @@
             let users = self.users(change.scheme);
             if !users.is_empty() {
                 lines += users.len() as f64;
-                let ordinary = due && lines <= ORDINARY_BACKLOG * self.settings.backlog;
+                // An ordinary change that rides on a message already due costs no message: else refusals
+                // and guards under load would use up the limit, and restored servers would wait for their
+                // weight.
+                let rides = users.iter().all(|user| orders.lines.contains_key(user));
+                let ordinary = (due || rides) && lines <= ORDINARY_BACKLOG * self.settings.backlog;
                 let guard = used <= GUARD_MESSAGES && lines <= GUARD_BACKLOG * self.settings.backlog;
                 if !(ordinary || (change.guard && guard)) {
                     continue;
                 }
-                if !change.guard {
+                if !change.guard && !rides {
                     self.updated = Some(now);
                 }
             }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -100,3 +100,25 @@
     world.run(10, &queued(8, 0.0));
     assert_eq!(world.levels[&0], 1.0);
 }
+
+/// Found by hunting: levels that moved each tick used up the messages for ordinary updates, and servers that were
+/// well again kept the weight of their trouble for ten seconds and more.
+#[test]
+fn restored_weights_ride_along_while_levels_move() {
+    let mut world = World::new(two_classes(), 8, 4);
+    world.slow_probes.insert(2);
+    world.slowness = 6;
+    world.run(12, &queued(8, 0.0));
+    assert!(world.weight(2) < 2.0, "weight {}", world.weight(2));
+    world.slow_probes.clear();
+    let mut ordered = 0;
+    for second in 0..16 {
+        world.actions.clear();
+        world.run(1, &queued(8, if second % 4 < 2 { 30.0 } else { 0.0 }));
+        ordered += world.actions.iter().filter(|a| matches!(a, Action::Admit { .. })).count();
+    }
+    assert!(ordered > 20, "levels moved {ordered} times");
+    assert!(world.weight(2) > 3.0, "weight {}", world.weight(2));
+    let window = world.marks.iter().filter(|at| world.now - **at <= ms(10_000)).count();
+    assert!(window <= 25, "{window} messages in the window");
+}
