--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -91,8 +91,9 @@
 const UNLIMITED: f64 = 1e6;
 /// Least admitted share of a class.
 const ADMIT_LEAST: f64 = 0.1;
-/// Without load reports: a mean answer time of this share of the aims means that many answers are late.
-const LATE_SHARE: f64 = 0.6;
+/// Without load reports: mean answer times, as shares of the mean aim, from which answers are late in part,
+/// then for the most part.
+const LATE: (f64, f64) = (0.4, 1.0);
 /// Demand that cold servers alone must bear, as a multiple of the size of all servers known: tries come
 /// again.
 const COLD_ALONE: f64 = 2.0;
@@ -624,8 +625,8 @@
         let told = self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight);
         let (busy, told) = told.fold((0.0, 0.0), |(sum, n), busy| (sum + busy, n + 1.0));
         let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
-        let late = (LATE_SHARE * aims / self.settings.classes.len().max(1) as f64).max(1.0);
-        let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(clamp01(zone.1 / late));
+        let aim = (aims / self.settings.classes.len().max(1) as f64).max(1.0);
+        let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
         // A queue is told only once all slots are in work, and by then every answer is late: where core use
         // is not reported, the time of probes shows how many share a core.
         let shared = |server: &Server| server.speed.service.mean().and(slowed(server));
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -66,8 +66,11 @@
 }
 
 #[test]
-fn without_load_reports_failing_and_late_tries_tell() {
+fn without_load_reports_failing_and_late_tries_tell_and_timely_ones_refuse_nobody() {
     let mut world = World::new(two_classes(), 8, 4);
+    let timely: Vec<Event> = (0..8).map(|id| heard(id, 8.0, 0.0, 300.0)).collect();
+    world.run(8, &timely);
+    assert_eq!((world.levels[&0], world.levels[&1]), (1.0, 1.0));
     let jammed: Vec<Event> = (0..8).map(|id| heard(id, 8.0, 5.0, 1500.0)).collect();
     world.run(8, &jammed);
     assert!(world.levels[&0] < 0.5, "{:?}", world.levels);
