--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -441,10 +441,14 @@
             return 0.0;
         }
         let timed = self.open().map(|(_, s)| s).filter(|s| s.quickest > 0.0);
-        let further = timed.clone().filter(|s| !home(s)).filter_map(|far| {
-            let alike = timed.clone().filter(|s| home(s) && s.entry.kind == far.entry.kind);
-            quantile(alike.map(|s| s.quickest), 0.5).map(|near| far.quickest - near)
-        });
+        let mut near: BTreeMap<u32, Vec<f64>> = BTreeMap::new();
+        for server in timed.clone().filter(|s| home(s)) {
+            near.entry(server.entry.kind).or_default().push(server.quickest);
+        }
+        let near: BTreeMap<u32, Option<f64>> =
+            near.into_iter().map(|(kind, times)| (kind, quantile(times.into_iter(), 0.5))).collect();
+        let further = timed.filter(|s| !home(s));
+        let further = further.filter_map(|far| Some(far.quickest - (*near.get(&far.entry.kind)?)?));
         quantile(further, 0.5).unwrap_or(0.0).max(0.0)
     }
 
