--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -627,7 +627,7 @@
     /// saturation itself.
     fn admit(&mut self, elapsed: f64, zones: &References, out: &mut Vec<Action>) {
         let told = self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight);
-        let (busy, told) = told.fold((0.0, 0.0), |(sum, n), busy| (sum + busy, n + 1.0));
+        let (busy, told) = told.fold((0.0, 0.0f64), |(sum, n), busy| (sum + busy, n + 1.0));
         let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
         let aim = (aims / self.settings.classes.len().max(1) as f64).max(1.0);
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
@@ -635,8 +635,12 @@
         // is not reported, the time of probes shows how many share a core.
         let shared = |server: &Server| server.speed.service.mean().and(slowed(server));
         let shared = quantile(self.open().filter_map(|(_, server)| shared(server)), 0.5).unwrap_or(1.0);
+        // Where probes wait like requests, those that time out tell of what waits beyond full cores.
+        let mute = self.open().filter(|(_, server)| server.probing.failing > 0).count() as f64;
+        let mute = mute / self.open().count().max(1) as f64;
         let failing = zones.values().map(failing).fold(0.0, f64::max);
-        let term = if told > 0.0 { (busy / told).max(full(shared, BUSY_STRETCH)) } else { failing };
+        let reported = (busy / told.max(1.0)).max(full(shared, BUSY_STRETCH)).max(mute);
+        let term = if told > 0.0 { reported } else { failing };
         let admission = &mut self.admission;
         admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE_S));
         let newest = if term > admission.strain { EWMA_FALL } else { EWMA_RISE };
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -125,3 +125,17 @@
     let window = world.marks.iter().filter(|at| world.now - **at <= ms(10_000)).count();
     assert!(window <= 25, "{window} messages in the window");
 }
+
+/// Seen in an incident: half of the probes waited behind requests until they timed out, while reported core use, which
+/// cannot pass the whole, left the level where it was.
+#[test]
+fn probes_that_time_out_at_many_servers_tell_of_saturation() {
+    let mut world = World::new(two_classes(), 8, 4);
+    world.run(5, &queued(8, 0.0));
+    world.mute.extend(0..5);
+    world.run(6, &queued(8, 0.0));
+    assert!(world.levels[&0] < 0.8, "{:?}", world.levels);
+    world.mute.clear();
+    world.run(10, &queued(8, 0.0));
+    assert_eq!(world.levels[&0], 1.0);
+}
