Reread: levels once a turn, one fleet median, slice choice back in the module

The choice of a slice's server is a decision and moves from state.rs into the module, two tuned values get names, only the probe times of now are kept of a second speed record, tests share one way to attach a load report.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -52,6 +52,10 @@
 /// A weight is sent again after moving by this share of the weight last sent. The design starts at a fifth;
 /// a climb that ended there would leave a fifth of a healthy server unused for good.
 const RESEND_SHARE: f64 = 0.1;
+/// A reduced server's line that falls under this share of the weight last sent does not wait for its turn.
+const COOLED: f64 = 0.6;
+/// Idle reports mixed into a server's saturation: it ends once reports stop.
+const PRIOR_BUSY: f64 = 0.5;
 /// Half-life of tries and probes as evidence: a few report periods, since one holds few tries.
 const EVIDENCE_HALF_LIFE_S: f64 = 1.5;
 /// Tries of the fleet's own quality mixed into each server's: thin evidence then says little.
@@ -155,7 +159,7 @@
         }
         self.probing.failed *= 0.5f64.powf(elapsed / EVIDENCE_HALF_LIFE_S);
         self.busy.fade(elapsed, EVIDENCE_HALF_LIFE_S);
-        self.speed_now.fade(elapsed, EVIDENCE_HALF_LIFE_S);
+        self.probes_now.fade(elapsed, EVIDENCE_HALF_LIFE_S);
         self.speed.fade(elapsed, SPEED_HALF_LIFE_S);
     }
 
@@ -176,7 +180,7 @@
             let speed = 1.0 / (took.secs() - way).max(took.secs() / 4.0).max(1e-6);
             // Where probes wait like requests the quick ones tell the speed.
             self.speed.probes.add(speed.powi(QUICK + 1), speed.powi(QUICK));
-            self.speed_now.probes.add(speed, 1.0);
+            self.probes_now.add(speed, 1.0);
             self.quickest = if self.quickest > 0.0 { self.quickest.min(took.secs()) } else { took.secs() };
         }
         let probing = &mut self.probing;
@@ -194,7 +198,7 @@
 
     /// How far recent reports show the server saturated, from 0 to 1; 0 once reports stop.
     fn saturated(&self) -> f64 {
-        self.busy.sum / (self.busy.weight + 0.5)
+        self.busy.sum / (self.busy.weight + PRIOR_BUSY)
     }
 
     /// Share of its capacity that a server is sure to have, by the time since its start.
@@ -264,6 +268,10 @@
         self.servers.iter().filter(|(_, server)| server.open())
     }
 
+    fn fleet_median(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
+        quantile(self.open().filter_map(|(_, server)| of(server)), 0.5)
+    }
+
     // ---- Registry view and evidence ----
 
     fn take(&mut self, now: Micros, event: &Event) {
@@ -369,8 +377,8 @@
         }
         let zones = self.references();
         let probes_count = self.probes_count();
-        let slowed_fleet = quantile(self.open().filter_map(|(_, server)| slowed(server)), 0.5).unwrap_or(1.0);
-        let fleet_saturated = quantile(self.open().map(|(_, s)| s.saturated()), 0.5).unwrap_or(0.0);
+        let slowed_fleet = self.fleet_median(slowed).unwrap_or(1.0);
+        let fleet_saturated = self.fleet_median(|server| Some(server.saturated())).unwrap_or(0.0);
         // While the fleet itself has no headroom, work moved off one server jams the next: terms count by
         // what the others can take. It may hurt while a server fails under overload; refusals then make the
         // room.
@@ -514,7 +522,7 @@
     fn weights(&self, now: Micros) -> Lines {
         let speeds = self.speeds();
         let used = self.open().filter(|(_, server)| server.state != State::Withdrawn);
-        let panic = self.size(used) < PANIC_SHARE * self.size(self.open());
+        let panic = total_size(used) < PANIC_SHARE * total_size(self.open());
         let weight = |id: &ServerId, server: &Server| {
             let speed = speeds.get(id).copied().unwrap_or(1.0).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
             let share = match server.state {
@@ -528,13 +536,10 @@
         self.open().map(|(id, server)| (*id, weight(id, server))).collect()
     }
 
-    fn size<'a>(&self, servers: impl Iterator<Item = (&'a ServerId, &'a Server)>) -> f64 {
-        servers.map(|(_, server)| server.size()).sum()
-    }
-
     /// The lines a table should have.
     fn target(&self, now: Micros, weights: &Lines, zone: Option<ZoneId>, home_only: bool) -> Lines {
-        let here = self.open().filter(|(_, server)| !home_only || zone == Some(server.entry.zone));
+        let within = |server: &Server| !home_only || zone == Some(server.entry.zone);
+        let here = self.open().filter(|(_, server)| within(server));
         let parts =
             if home_only { BTreeMap::new() } else { zone.map_or(BTreeMap::new(), |z| self.lean(weights, z)) };
         let weight = |id: &ServerId, server: &Server| {
@@ -546,8 +551,8 @@
             // part they can surely do.
             lines = here.map(|(id, s)| (*id, s.size() * s.warmth(now, &self.settings))).collect();
         }
-        let known = self.servers.iter().filter(|(_, server)| !home_only || zone == Some(server.entry.zone));
-        self.spare_the_cold(now, self.size(known), &mut lines);
+        let known = self.servers.iter().filter(|(_, server)| within(server));
+        self.spare_the_cold(now, total_size(known), &mut lines);
         lines
     }
 
@@ -584,7 +589,7 @@
     /// proxies together, few other servers left, and clients coming again and again: tries for each good
     /// answer tell how far demand is beyond what is served.
     fn spare_the_cold(&self, now: Micros, known: f64, lines: &mut Lines) {
-        let listed = self.size(self.open());
+        let listed = total_size(self.open());
         let seen = self.open().flat_map(|(_, server)| server.heard.values());
         let tries: f64 = seen.clone().map(|evidence| evidence.failed.weight).sum();
         let good: f64 = seen.map(|evidence| evidence.cost.weight).sum();
@@ -633,8 +638,8 @@
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
         // A queue is told only once all slots are in work, and by then every answer is late: where core use
         // is not reported, the time of probes shows how many share a core.
-        let shared = |server: &Server| server.speed.service.mean().and(slowed(server));
-        let shared = quantile(self.open().filter_map(|(_, server)| shared(server)), 0.5).unwrap_or(1.0);
+        let shared =
+            self.fleet_median(|server| server.speed.service.mean().and(slowed(server))).unwrap_or(1.0);
         // Where probes wait like requests, those that time out tell of what waits beyond full cores.
         let mute = self.open().filter(|(_, server)| server.probing.failing > 0).count() as f64;
         let mute = mute / self.open().count().max(1) as f64;
@@ -756,9 +761,10 @@
 
     fn table_lines(&mut self, now: Micros, weights: &Lines, used: f64, orders: &mut Orders) {
         let mut changes = Vec::new();
+        let levels = self.class_levels();
         for scheme in self.schemes.clone() {
             self.changes(scheme, &self.target(now, weights, scheme.zone, scheme.home_only), &mut changes);
-            self.order_levels(scheme, used <= GUARD_MESSAGES, orders);
+            self.order_levels(scheme, &levels, used <= GUARD_MESSAGES, orders);
         }
         changes.sort_by(|a, b| b.guard.cmp(&a.guard).then(b.size.total_cmp(&a.size)));
         let due = used <= ORDINARY_MESSAGES && self.updated.is_none_or(|at| now - at >= UPDATE_EVERY);
@@ -798,7 +804,7 @@
             let weight = target.get(&server).copied().unwrap_or(0.0);
             let ended = weight <= 0.0 && old > 0.0;
             let cooled =
-                weight < 0.6 * old && self.servers.get(&server).is_some_and(|s| s.state == State::Reduced);
+                weight < COOLED * old && self.servers.get(&server).is_some_and(|s| s.state == State::Reduced);
             // Nobody without a server: the first line of an empty table does not wait for its turn.
             let guard = ended || cooled || sent.is_empty();
             if ended || (weight > 0.0 && (weight - old).abs() > RESEND_SHARE * old) {
@@ -809,10 +815,10 @@
 
     /// Levels, with a second try only after proof that the first did not run: nothing takes effect twice,
     /// and a fleet short of room is not given the same work again.
-    fn order_levels(&mut self, scheme: Scheme, may_write: bool, orders: &mut Orders) {
-        let (levels, users) = (self.class_levels(), self.users(scheme));
+    fn order_levels(&mut self, scheme: Scheme, levels: &[f64], may_write: bool, orders: &mut Orders) {
+        let users = self.users(scheme);
         let known = self.tables.entry(scheme.table).or_default();
-        for (k, level) in levels.into_iter().enumerate().filter(|(k, _)| scheme.classes.has(*k)) {
+        for (k, &level) in levels.iter().enumerate().filter(|(k, _)| scheme.classes.has(*k)) {
             if known.levels.get(&k) != Some(&level) && (may_write || users.is_empty()) {
                 known.levels.insert(k, level);
                 let (table, classes) = (Some(scheme.table), ClassSet::default().with(k));
@@ -900,6 +906,10 @@
     schemes.filter(|scheme| scheme.classes != ClassSet::default()).collect()
 }
 
+fn total_size<'a>(servers: impl Iterator<Item = (&'a ServerId, &'a Server)>) -> f64 {
+    servers.map(|(_, server)| server.size()).sum()
+}
+
 /// How far a value lies on the way from none to full.
 fn full(value: f64, (from, to): (f64, f64)) -> f64 {
     clamp01((value - from) / (to - from))
@@ -907,7 +917,7 @@
 
 /// How many times longer probes take now than they usually do.
 fn slowed(server: &Server) -> Option<f64> {
-    Some(server.speed.by_probes()?.0 / server.speed_now.by_probes()?.0)
+    Some(server.speed.probes.mean()? / server.probes_now.mean()?)
 }
 
 /// Share of failed tries at a server beyond its zones' fleet, failed probes counted as tries, less its
@@ -972,3 +982,12 @@
         State::Full | State::Reduced => {}
     }
 }
+
+/// The server a slice falls to: the highest of the hashes of both numbers.
+fn rendezvous(slice: TableId, usable: &Lines) -> Option<ServerId> {
+    let hash = |server: &ServerId| {
+        let x = ((u64::from(slice.0) << 32) | u64::from(server.0)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        (x ^ (x >> 29)).wrapping_mul(0x9E37_79B9_7F4A_7C15)
+    };
+    usable.iter().filter(|(_, weight)| **weight > 0.0).map(|(server, _)| *server).max_by_key(hash)
+}
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -84,7 +84,7 @@
     pub heard: BTreeMap<ZoneId, Evidence>,
     pub fresh_good: f64,
     pub speed: Speed,
-    pub speed_now: Speed,
+    pub probes_now: Fading,
     pub busy: Fading,
     pub last_load: Load,
     pub quickest: f64,
@@ -209,12 +209,3 @@
     let last = values.len().checked_sub(1)?;
     values.get((last as f64 * share).round() as usize).copied()
 }
-
-/// The server a slice falls to: the highest of the hashes of both numbers.
-pub(crate) fn rendezvous(slice: TableId, usable: &Lines) -> Option<ServerId> {
-    let hash = |server: &ServerId| {
-        let x = ((u64::from(slice.0) << 32) | u64::from(server.0)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        (x ^ (x >> 29)).wrapping_mul(0x9E37_79B9_7F4A_7C15)
-    };
-    usable.iter().filter(|(_, weight)| **weight > 0.0).map(|(server, _)| *server).max_by_key(hash)
-}
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -75,6 +75,16 @@
     Event::Heard { zone: ZoneId(0), server: ServerId(server), tries, failed, mean_ms, period: ms(1000), load }
 }
 
+/// The same tally with a load report.
+pub fn reporting(tally: Event, report: Load) -> Event {
+    match tally {
+        Event::Heard { zone, server, tries, failed, mean_ms, period, .. } => {
+            Event::Heard { zone, server, tries, failed, mean_ms, period, load: report }
+        }
+        other => other,
+    }
+}
+
 pub fn probed(server: ServerId, end: ProbeEnd) -> Event {
     probed_in(server, end, ms(5))
 }
--- a/crates/policy/tests/states.rs
+++ b/crates/policy/tests/states.rs
@@ -4,6 +4,17 @@
 use chutegrade_policy::interface::*;
 use common::*;
 
+/// A calm fleet of eight that lost its server 3 to failing tries.
+fn without_server_3() -> World {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(5, &healthy(8, &[]));
+    let mut events = healthy(8, &[3]);
+    events.push(heard(3, 8.0, 8.0, 0.0));
+    world.run(4, &events);
+    assert_eq!(world.weight(3), 0.0);
+    world
+}
+
 #[test]
 fn a_quiet_fleet_keeps_listed_weights_and_sends_nothing_more() {
     let mut world = World::new(settings(), 8, 4);
@@ -55,12 +66,7 @@
 
 #[test]
 fn a_withdrawn_server_returns_small_and_climbs_on_good_reports() {
-    let mut world = World::new(settings(), 8, 4);
-    world.run(5, &healthy(8, &[]));
-    let mut events = healthy(8, &[3]);
-    events.push(heard(3, 8.0, 8.0, 0.0));
-    world.run(4, &events);
-    assert_eq!(world.weight(3), 0.0);
+    let mut world = without_server_3();
     world.actions.clear();
     world.run(8, &healthy(8, &[3]));
     let back = world.actions.iter().find_map(|action| match action {
@@ -101,11 +107,7 @@
 }
 
 fn with_service_time(id: u32, ms: f64) -> Event {
-    let Event::Heard { zone, server, tries, failed, mean_ms, period, .. } = heard(id, 8.0, 0.0, 200.0) else {
-        unreachable!()
-    };
-    let load = Load { latency_ms: Some(ms), ..Load::default() };
-    Event::Heard { zone, server, tries, failed, mean_ms, period, load }
+    reporting(heard(id, 8.0, 0.0, 200.0), Load { latency_ms: Some(ms), ..Load::default() })
 }
 
 #[test]
@@ -150,11 +152,8 @@
     world.run(5, &healthy(8, &[]));
     for second in 0..8 {
         let mut events = healthy(8, &[3]);
-        let Event::Heard { zone, server, tries, mean_ms, period, .. } = heard(3, 8.0, 0.0, 900.0) else {
-            unreachable!()
-        };
         let load = Load { queue: Some(20.0 + f64::from(second)), ..Load::default() };
-        events.push(Event::Heard { zone, server, tries, failed: 5.0, mean_ms, period, load });
+        events.push(reporting(heard(3, 8.0, 5.0, 900.0), load));
         world.run(1, &events);
         assert!(world.weight(3) > 0.4, "weight {} after {second} s", world.weight(3));
     }
@@ -165,12 +164,7 @@
 /// ceiling stayed at a tenth while the others were jammed.
 #[test]
 fn a_returned_server_climbs_on_few_answers_too() {
-    let mut world = World::new(settings(), 8, 4);
-    world.run(5, &healthy(8, &[]));
-    let mut events = healthy(8, &[3]);
-    events.push(heard(3, 8.0, 8.0, 0.0));
-    world.run(4, &events);
-    assert_eq!(world.weight(3), 0.0);
+    let mut world = without_server_3();
     let mut few = healthy(8, &[3]);
     few.push(heard(3, 0.4, 0.0, 200.0));
     world.run(30, &few);
@@ -186,16 +180,8 @@
     world.slow_probes.insert(2);
     world.slowness = 20;
     for second in 0..6 {
-        let jammed: Vec<Event> = healthy(8, &[])
-            .into_iter()
-            .map(|event| match event {
-                Event::Heard { zone, server, tries, failed, mean_ms, period, .. } => {
-                    let load = Load { queue: Some(30.0 + f64::from(second)), ..Load::default() };
-                    Event::Heard { zone, server, tries, failed, mean_ms, period, load }
-                }
-                other => other,
-            })
-            .collect();
+        let load = Load { queue: Some(30.0 + f64::from(second)), ..Load::default() };
+        let jammed: Vec<Event> = healthy(8, &[]).into_iter().map(|tally| reporting(tally, load)).collect();
         world.run(1, &jammed);
     }
     assert!(world.weight(2) > 0.5 * before, "weight {} after {before}", world.weight(2));
