--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -41,7 +41,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub u16);
 /// A table of servers and weights, or a slice where keys fall into slices.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TableId(pub u16);
 /// A class of requests: a position in [`Settings::classes`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -219,6 +219,10 @@
     pub message_head: f64,
     /// The longest way of a message from the channel to the proxy.
     pub way_most: Micros,
+    /// After this long without a request a proxy closes a connection.
+    pub idle_close: Micros,
+    /// Connections that the smallest servers accept; 0: not told.
+    pub sockets_least: f64,
     /// Messages that may be written to one proxy within the window; 0: any number.
     pub messages_most: usize,
     /// The window for that count.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -26,11 +26,9 @@
 const RESTORE_ABOVE: f64 = 0.55;
 /// Ticks above before restoring, and ticks out before a return (write-up, design).
 const RESTORE_TICKS: u32 = 6;
-/// After a return that failed, the next waits longer by this factor, up to so many ticks (ejection
-/// backoff).
+/// After a return that failed the next waits longer by this factor, up to so many ticks (ejection backoff).
 const RETURN_BACKOFF: (u32, u32) = (2, 24);
-/// Latency budget, as a multiple of the fleet's median. The design starts at 3, which a merely busy server
-/// crosses: cores shared by a few requests more double its service time, and the fleet swings.
+/// Latency budget, as a multiple of the fleet's median (design: 3, which a merely busy server crosses).
 const LATENCY_BUDGET: f64 = 5.0;
 /// Answer times count by this factor where probes are timed.
 const ANSWERS_COUNT: f64 = 0.5;
@@ -41,16 +39,13 @@
 const BUSY_UTIL: (f64, f64) = (0.85, 0.95);
 /// The same for the time of probes, as a multiple of the usual, at the fleet's median.
 const BUSY_STRETCH: (f64, f64) = (1.1, 2.2);
-/// How far saturation beyond the fleet's lowers the score: a busy server gets less work, not none.
-const LOAD_TERM_DEPTH: f64 = 0.75;
 /// Least weight of a reduced server and weight of a returning one, as a share of the listed (design).
 const LEAST_SHARE: f64 = 0.1;
 /// Score and ceiling of a new server (design).
 const NEW_SCORE: f64 = 0.5;
 /// Growth of a returning server's ceiling with each tick of good reports.
 const CEILING_GROWTH: f64 = 2.0;
-/// A weight is sent again after moving by this share of the weight last sent. The design starts at a fifth;
-/// a climb that ended there would leave a fifth of a healthy server unused for good.
+/// A weight is sent again after moving by this share (design: a fifth, which a climb may leave unused for good).
 const RESEND_SHARE: f64 = 0.1;
 /// A reduced server's line that falls under this share of the weight last sent does not wait for its turn.
 const COOLED: f64 = 0.6;
@@ -60,8 +55,7 @@
 const EVIDENCE_HALF_LIFE_S: f64 = 1.5;
 /// Tries of the fleet's own quality mixed into each server's: thin evidence then says little.
 const PRIOR_TRIES: f64 = 4.0;
-/// Half-life of what is learned of a server's speed: many reports, which are noisy and rest on few
-/// requests.
+/// Half-life of what is learned of a server's speed: reports are noisy and rest on few requests.
 const SPEED_HALF_LIFE_S: f64 = 12.0;
 /// Bounds of the correction of a listed weight by measured speed: beyond, the report is doubted.
 const SPEED_BOUNDS: (f64, f64) = (0.3, 2.5);
@@ -81,28 +75,29 @@
 const PROBES_ANSWERED: f64 = 0.7;
 /// Panic threshold: at least this share of the listed weight stays in use.
 const PANIC_SHARE: f64 = 0.5;
-/// A cold server's part is set as if demand were this multiple of what the listed fleet can do: room for a
-/// bad moment to begin before tallies, seconds late, tell of it.
+/// A cold server's part is set for this multiple of what the listed fleet can do: tallies are seconds late.
 const COLD_DEMAND: f64 = 4.0;
-/// Tries for each good answer beyond which a cold server is kept out where proxies avoid servers by
-/// themselves.
+/// Tries for each good answer beyond which a cold server is kept out where proxies avoid servers themselves.
 const COLD_OUT: f64 = 1.5;
-/// The fleet's mean saturation from which requests are refused, and the share refused when all is
-/// saturated.
+/// The fleet's mean saturation from which requests are refused, and the share refused when all is saturated.
 const REFUSE_FROM: f64 = 0.2;
 const REFUSE_MOST: f64 = 0.9;
 /// A rate that no proxy meets, in requests a second: all are let in.
 const UNLIMITED: f64 = 1e6;
 /// Least admitted share of a class.
 const ADMIT_LEAST: f64 = 0.1;
-/// Without load reports: mean answer times, as shares of the mean aim, from which answers are late in part,
-/// then for the most part.
+/// Without load reports: mean answer times, as shares of the mean aim, that are late in part, then mostly.
 const LATE: (f64, f64) = (0.4, 1.0);
-/// Demand that cold servers alone must bear, as a multiple of the size of all servers known: tries come
-/// again.
+/// Demand that cold servers alone must bear, as a multiple of the size of all servers known.
 const COLD_ALONE: f64 = 2.0;
 /// Share of a zone's requests that leans to its own servers; the rest goes to all by weight.
 const LEAN: f64 = 0.9;
+/// Requests that a usual proxy should bring to each server of its table before an idle connection closes.
+const REUSE: f64 = 4.0;
+/// Least servers of a table that names part of the fleet: a fifth of them failing must leave enough.
+const PART_LEAST: f64 = 16.0;
+/// Share of a server's connections that the proxies of its tables may need.
+const CONNECTIONS_SHARE: f64 = 0.5;
 /// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
 const ORDINARY_BACKLOG: f64 = 0.3;
 const GUARD_BACKLOG: f64 = 0.9;
@@ -116,14 +111,10 @@
 
 const TICK_TIMER: u32 = 1;
 
-/// Reads a speed, and how many reports tell it.
-type Gauge = fn(&Speed) -> Option<(f64, f64)>;
-
 impl Speed {
     fn report(&mut self, load: &Load) {
         if let Some(ms) = load.latency_ms.filter(|ms| *ms > 0.0) {
-            // Shared cores stretch the service time of a busy server: what it shows while none waits tells
-            // more.
+            // Shared cores stretch the service time of a busy server: what it shows while none waits tells more.
             let weight = 1.0 / (1.0 + load.queue.unwrap_or(0.0));
             self.service.add(ms * weight, weight);
         }
@@ -131,14 +122,6 @@
             self.per_util.add(qps, util);
         }
     }
-
-    fn by_probes(&self) -> Option<(f64, f64)> {
-        self.probes.mean().map(|speed| (speed, PROBE_WORTH))
-    }
-
-    fn by_service(&self) -> Option<(f64, f64)> {
-        self.service.mean().map(|ms| (1.0 / ms, self.service.weight))
-    }
 }
 
 impl Server {
@@ -225,6 +208,10 @@
     schemes: Vec<Scheme>,
     channel: Channel,
     admission: Admission,
+    /// Longer way of probes to other zones, in seconds.
+    further: f64,
+    /// Parts that the fleet is dealt into; 0 until the first proxies tell what they carry.
+    parts: usize,
     ticked: Micros,
     updated: Option<Micros>,
     subscribe_at: Option<Micros>,
@@ -236,7 +223,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let came = vec![Fading::default(); settings.classes.len()];
         let admission = Admission { came, ..Admission::default() };
-        Policy { schemes: schemes(&settings), settings, seed, admission, ..Policy::default() }
+        Policy { settings, seed, admission, ..Policy::default() }
     }
 
     /// Takes in what happened by `now` and returns the orders to give.
@@ -244,7 +231,7 @@
         let mut out = Vec::new();
         if !self.started {
             self.started = true;
-            (self.ticked, self.channel.at) = (now, now);
+            self.ticked = now;
             if self.settings.list_on_request {
                 out.push(Action::Subscribe(true));
             }
@@ -255,12 +242,22 @@
         for event in events {
             self.take(now, event);
         }
-        if events.contains(&Event::Timer(TICK_TIMER)) {
+        let ticks = events.contains(&Event::Timer(TICK_TIMER));
+        if ticks {
             out.push(Action::Timer { id: TICK_TIMER, after: TICK });
             self.tick(now, &mut out);
         }
-        self.probe(now, &mut out);
-        self.publish(now, &mut out);
+        // The work of a batch follows what happened: answers to probes and tallies wait for the tick. Danger:
+        // a large fleet probed each second would otherwise use up the instance's share of processor time.
+        let presses = |event: &Event| match event {
+            Event::Members(..) | Event::Joined { .. } | Event::Tenure { .. } => true,
+            Event::Receipt { .. } | Event::Left(_) => self.settings.sole_owner,
+            _ => false,
+        };
+        if ticks || events.iter().any(presses) {
+            self.probe(now, &mut out);
+            self.publish(now, &mut out);
+        }
         out
     }
 
@@ -284,6 +281,7 @@
             }
             Event::Left(proxy) => {
                 self.proxies.remove(proxy);
+                self.channel.lost(*proxy);
                 for handover in self.slices.values_mut().flatten() {
                     if handover.waits_for.remove(proxy) {
                         handover.not_before = handover.not_before.max(now + self.settings.lease);
@@ -301,27 +299,20 @@
                 }
             }
             Event::Probed { server, end, took, load } => {
-                let way = self.way(server);
                 if let Some(server) = self.servers.get_mut(server) {
+                    let way = if server.entry.zone == self.settings.zone { 0.0 } else { self.further };
                     server.probed(*end, *took, way);
                     server.report(load);
                 }
             }
-            Event::Usage { class, came, .. } | Event::SliceUsage { class, came, .. } => {
-                if let Event::Usage { proxy, period, .. } = event {
-                    if let Some(proxy) = self.proxies.get_mut(proxy) {
-                        let classes = self.settings.classes.len().max(1) as f64;
-                        proxy.came.add(*came, period.secs() / classes);
-                    }
-                }
-                if let Some(class) = self.admission.came.get_mut(usize::from(class.0)) {
-                    class.add(*came, 1.0);
-                }
+            Event::Usage { proxy, class, came, period, .. } => {
+                let classes = self.settings.classes.len().max(1) as f64;
+                self.proxies.entry(*proxy).and_modify(|p| p.came.add(*came, period.secs() / classes));
+                self.came(*class, *came);
             }
+            Event::SliceUsage { class, came, .. } => self.came(*class, *came),
             Event::Receipt { proxy, mark, .. } => {
-                if *mark == self.channel.mark {
-                    self.channel.marked = None;
-                }
+                self.channel.confirmed(*proxy, *mark);
                 for handover in self.slices.values_mut().flatten().filter(|h| h.mark == *mark) {
                     handover.waits_for.remove(proxy);
                 }
@@ -342,25 +333,35 @@
         }
     }
 
+    fn came(&mut self, class: ClassId, came: f64) {
+        if let Some(class) = self.admission.came.get_mut(usize::from(class.0)) {
+            class.add(came, 1.0);
+        }
+    }
+
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         let first = self.servers.is_empty();
         if kind != ListKind::Changes {
-            for (id, server) in &mut self.servers {
-                if !entries.iter().any(|entry| entry.server == *id) {
-                    server.entry.life = Lifecycle::Gone;
-                }
+            let listed: BTreeSet<ServerId> = entries.iter().map(|entry| entry.server).collect();
+            for (_, server) in self.servers.iter_mut().filter(|(id, _)| !listed.contains(*id)) {
+                server.entry.life = Lifecycle::Gone;
             }
         }
-        for entry in entries {
+        // Dealt in turn by zone and kind: each part of the fleet gets its share of both.
+        let mut dealt: Vec<&Entry> = entries.iter().collect();
+        dealt.sort_by_key(|entry| (entry.zone, entry.kind, entry.server));
+        for entry in dealt {
             let cold = entry.started.is_some_and(|started| now - started < self.settings.cold_for);
             match self.servers.get_mut(&entry.server) {
                 // A process that started anew is another server in all that matters: cold, with no past.
                 Some(known) if entry.started > known.entry.started => {
-                    *known = Server { shut: known.shut, ..Server::new(*entry, !cold) };
+                    let (shut, dealt) = (known.shut, known.dealt);
+                    *known = Server { shut, dealt, ..Server::new(*entry, !cold) };
                 }
                 Some(known) => known.entry = *entry,
                 None => {
-                    self.servers.insert(entry.server, Server::new(*entry, first && !cold));
+                    let new = Server::new(*entry, first && !cold);
+                    self.servers.insert(entry.server, Server { dealt: self.servers.len(), ..new });
                 }
             }
         }
@@ -375,30 +376,27 @@
             self.subscribe_at = None;
             out.push(Action::Subscribe(true));
         }
+        self.further = self.way();
         let zones = self.references();
         let probes_count = self.probes_count();
         let slowed_fleet = self.fleet_median(slowed).unwrap_or(1.0);
         let fleet_saturated = self.fleet_median(|server| Some(server.saturated())).unwrap_or(0.0);
-        // While the fleet itself has no headroom, work moved off one server jams the next: terms count by
-        // what the others can take. It may hurt while a server fails under overload; refusals then make the
-        // room.
+        // Terms count by what the others can take: work moved off one server of a full fleet jams the next. It
+        // may hurt while a server fails under overload; refusals then make the room.
         let spare = 1.0 - fleet_saturated;
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
             let error = 1.0 - spare * clamp01(error_share(server, &zones, probes_count) / ERROR_BUDGET);
-            // A probe's time now against its usual, by what befell the fleet, shows a slowed machine
-            // whatever its model and load. Answer times hold waiting too and must be further off to count,
-            // but they show also what a probe does not meet.
+            // A probe's time now against its usual, by what befell the fleet, shows a slowed machine whatever
+            // its model. Answer times hold waiting too, but show also what a probe does not meet.
             let answers = latency_ratio(server, &zones);
             let ratio =
                 slowed(server).map_or(answers, |now| (now / slowed_fleet).max(answers * ANSWERS_COUNT));
             let latency = 1.0 - spare * clamp01(ratio / LATENCY_BUDGET);
-            let load = 1.0 - LOAD_TERM_DEPTH * clamp01(server.saturated() - fleet_saturated);
             let before = server.state;
-            step(server, error, latency.min(load));
+            step(server, error, latency);
             if server.state != before {
-                let terms = format!("errors {error:.2} latency {latency:.2} load {load:.2}");
                 let state = format!("{:?} score {:.2}", server.state, server.score);
-                out.push(Action::Log(format!("{} {state}: {terms}", id.0)));
+                out.push(Action::Log(format!("{} {state}: errors {error:.2} latency {latency:.2}", id.0)));
             }
             server.fade(elapsed);
         }
@@ -443,29 +441,24 @@
 
     /// The further way of a probe to a server outside the own zone, in seconds: how much longer the
     /// quickest probes take there than at servers of the same kind at home.
-    fn way(&self, server: &ServerId) -> f64 {
+    fn way(&self) -> f64 {
         let home = |s: &Server| s.entry.zone == self.settings.zone;
-        if self.servers.get(server).is_none_or(home) {
-            return 0.0;
-        }
         let timed = self.open().map(|(_, s)| s).filter(|s| s.quickest > 0.0);
-        let mut near: BTreeMap<u32, Vec<f64>> = BTreeMap::new();
-        for server in timed.clone().filter(|s| home(s)) {
-            near.entry(server.entry.kind).or_default().push(server.quickest);
-        }
-        let near: BTreeMap<u32, Option<f64>> =
-            near.into_iter().map(|(kind, times)| (kind, quantile(times.into_iter(), 0.5))).collect();
-        let further = timed.filter(|s| !home(s));
+        let kinds: BTreeSet<u32> = timed.clone().map(|s| s.entry.kind).collect();
+        let times = |kind| timed.clone().filter(move |s| home(s) && s.entry.kind == kind).map(|s| s.quickest);
+        let near: BTreeMap<_, _> = kinds.into_iter().map(|kind| (kind, quantile(times(kind), 0.5))).collect();
+        let further = timed.clone().filter(|s| !home(s));
         let further = further.filter_map(|far| Some(far.quickest - (*near.get(&far.entry.kind)?)?));
         quantile(further, 0.5).unwrap_or(0.0).max(0.0)
     }
 
-    /// By server: its speed against the fleet's median, and how many reports tell it. A probe does the same
-    /// work everywhere and is precise at once, but may be too slight to show what requests meet; service
-    /// times are of the real work, but few and of mixed requests. Danger: either gauge alone can be wrong
-    /// for good.
+    /// By server: its speed against the fleet's median, and how many reports tell it. Danger: either gauge alone
+    /// can be wrong for good: probes are precise but slight, service times few and of mixed requests.
     fn gauged(&self) -> BTreeMap<ServerId, (f64, f64)> {
-        let gauges: [Gauge; 2] = [Speed::by_probes, Speed::by_service];
+        let gauges: [fn(&Speed) -> Option<(f64, f64)>; 2] = [
+            |speed| speed.probes.mean().map(|speed| (speed, PROBE_WORTH)),
+            |speed| speed.service.mean().map(|ms| (1.0 / ms, speed.service.weight)),
+        ];
         let mut told: BTreeMap<ServerId, (f64, f64)> = BTreeMap::new();
         for gauge in gauges {
             let read = self.open().filter_map(|(id, server)| Some((*id, gauge(&server.speed)?)));
@@ -537,67 +530,72 @@
     }
 
     /// The lines a table should have.
-    fn target(&self, now: Micros, weights: &Lines, zone: Option<ZoneId>, home_only: bool) -> Lines {
-        let within = |server: &Server| !home_only || zone == Some(server.entry.zone);
-        let here = self.open().filter(|(_, server)| within(server));
-        let parts =
-            if home_only { BTreeMap::new() } else { zone.map_or(BTreeMap::new(), |z| self.lean(weights, z)) };
+    fn target(&self, now: Micros, weights: &Lines, scheme: Scheme, lean: &Zones, cold: (f64, bool)) -> Lines {
+        let Scheme { zone, home_only, part, .. } = scheme;
+        let within = |server: &Server| {
+            (!home_only || zone == Some(server.entry.zone)) && server.dealt % self.parts.max(1) == part
+        };
         let weight = |id: &ServerId, server: &Server| {
-            weights.get(id).copied().unwrap_or(0.0) * parts.get(&server.entry.zone).copied().unwrap_or(1.0)
+            let part = if home_only { None } else { lean.get(&server.entry.zone) };
+            weights.get(id).copied().unwrap_or(0.0) * part.copied().unwrap_or(1.0)
         };
+        let here = self.open().filter(|(_, server)| within(server));
         let mut lines: Lines = here.clone().map(|(id, server)| (*id, weight(id, server))).collect();
         if lines.values().all(|weight| *weight <= 0.0) {
-            // Nobody without a server: a table all of whose servers were withdrawn gets them back, at the
-            // part they can surely do.
+            // Nobody without a server: servers all withdrawn come back, at the part they can surely do.
             lines = here.map(|(id, s)| (*id, s.size() * s.warmth(now, &self.settings))).collect();
         }
-        let known = self.servers.iter().filter(|(_, server)| within(server));
-        self.spare_the_cold(now, total_size(known), &mut lines);
+        let known = self.servers.values().filter(|server| within(server)).map(Server::size).sum();
+        let listed = self.open().filter(|(_, server)| server.dealt % self.parts.max(1) == part);
+        self.spare_the_cold(now, (known, total_size(listed)), cold, &mut lines);
         lines
     }
 
     /// By zone of the servers: the factor on their weights in a zone's table. What the zone's own servers
     /// can do stays at home, what is beyond goes where others have more than their own zone brings; a
     /// little goes everywhere, so that every table names all servers and all are heard of.
-    fn lean(&self, weights: &Lines, zone: ZoneId) -> BTreeMap<ZoneId, f64> {
-        let mut can: BTreeMap<ZoneId, f64> = BTreeMap::new();
-        let mut comes: BTreeMap<ZoneId, f64> = BTreeMap::new();
-        for (id, server) in self.open() {
-            *can.entry(server.entry.zone).or_default() += weights.get(id).copied().unwrap_or(0.0);
+    fn lean(&self, weights: &Lines, zone: ZoneId) -> Zones {
+        let weight = |id: &ServerId| weights.get(id).copied().unwrap_or(0.0);
+        let can = shares(self.open().map(|(id, server)| (server.entry.zone, weight(id))));
+        let comes = shares(self.proxies.values().map(|proxy| (proxy.zone, proxy.rate())));
+        if can.is_empty() || comes.is_empty() {
+            return Zones::new();
         }
-        for proxy in self.proxies.values() {
-            *comes.entry(proxy.zone).or_default() += proxy.came.mean().unwrap_or(0.0);
-        }
-        let (all_can, all_comes) = (can.values().sum::<f64>(), comes.values().sum::<f64>());
-        if all_can <= 0.0 || all_comes <= 0.0 {
-            return BTreeMap::new();
-        }
-        let can: BTreeMap<ZoneId, f64> = can.into_iter().map(|(zone, can)| (zone, can / all_can)).collect();
-        let comes = |zone: &ZoneId| comes.get(zone).copied().unwrap_or(0.0) / all_comes;
+        let comes = |zone: &ZoneId| comes.get(zone).copied().unwrap_or(0.0);
         let stays = can.get(&zone).map_or(0.0, |can| can / comes(&zone).max(1e-6)).min(1.0);
         let spare = |zone: &ZoneId| can.get(zone).map_or(0.0, |can| (can - comes(zone)).max(0.0));
         let all_spare = can.keys().map(spare).sum::<f64>();
         let part = |other: &ZoneId, can: f64| {
             let away = if all_spare > 0.0 { (1.0 - stays) * spare(other) / all_spare } else { 0.0 };
             let leaning = if *other == zone { stays } else { away };
-            LEAN * leaning / can.max(1e-6) + 1.0 - LEAN
+            let lean = if self.parts > 1 { 1.0 } else { LEAN };
+            lean * leaning / can.max(1e-6) + 1.0 - lean
         };
         can.iter().map(|(other, can)| (*other, part(other, *can))).collect()
     }
 
-    /// No cold server pushed over: a cold one's part of the table stays under what makes it fall, with all
-    /// proxies together, few other servers left, and clients coming again and again: tries for each good
-    /// answer tell how far demand is beyond what is served.
-    fn spare_the_cold(&self, now: Micros, known: f64, lines: &mut Lines) {
-        let listed = total_size(self.open());
+    /// The demand, as a multiple of what the fleet can do, that a cold server's part must bear: tries for each
+    /// good answer tell how far demand is beyond what is served. And whether cold ones stay out: proxies that
+    /// avoid failing servers by themselves send all they have to a cold one, whatever its weight, once the
+    /// others fail; it waits until most tries succeed, or until it is warm.
+    fn cold_demand(&self) -> (f64, bool) {
         let seen = self.open().flat_map(|(_, server)| server.heard.values());
         let tries: f64 = seen.clone().map(|evidence| evidence.failed.weight).sum();
         let good: f64 = seen.map(|evidence| evidence.cost.weight).sum();
         let beyond = ((tries + PRIOR_TRIES) / (good + PRIOR_TRIES)).max(1.0);
-        let demand = COLD_DEMAND * beyond;
-        // Proxies that avoid failing servers by themselves send all they have to a cold one, whatever its
-        // weight, once the others fail: it stays out until most tries succeed, or until it is warm.
         let out = self.settings.proxy_ejects_after > 0 && (beyond > COLD_OUT || tries <= 0.0);
+        (COLD_DEMAND * beyond, out)
+    }
+
+    /// No cold server pushed over: a cold one's part of the table stays under what makes it fall, with all
+    /// proxies together, few other servers left, and clients coming again and again.
+    fn spare_the_cold(
+        &self,
+        now: Micros,
+        (known, listed): (f64, f64),
+        (demand, out): (f64, bool),
+        lines: &mut Lines,
+    ) {
         let warmth = |id: &ServerId| self.servers.get(id).map_or(1.0, |s| s.warmth(now, &self.settings));
         let warm = |lines: &Lines| -> f64 {
             lines.iter().filter(|(id, _)| warmth(id) >= 1.0).map(|(_, weight)| weight).sum()
@@ -610,8 +608,7 @@
         }
         let warm = warm(lines);
         // Cold servers alone, against the work of all servers ever known here: nobody is sent to them until
-        // they can surely bear it. It may refuse more than needed when a whole deployment has just been
-        // started.
+        // they can surely bear it. It may refuse more than needed when a deployment was just started whole.
         let bear: f64 = lines.keys().filter_map(|id| Some(warmth(id) * self.servers.get(id)?.size())).sum();
         if warm <= 0.0 && bear * self.settings.fall_multiple < COLD_ALONE * known {
             lines.values_mut().for_each(|weight| *weight = 0.0);
@@ -625,19 +622,17 @@
 
     // ---- Admission and retries ----
 
-    /// The fleet's headroom decides what share is let in: by what servers report of their saturation, seen
-    /// within a second or two; where nothing is reported, by tries that fail or are late, seconds later.
-    /// Danger: clients come again, abandoned work goes on, and a fleet once full stays full. Nothing is
-    /// refused while headroom remains, and no level outlasts its cause, since the share follows the
-    /// saturation itself.
+    /// The fleet's headroom decides what share is let in: by what servers report of their saturation; where
+    /// nothing is reported, by tries that fail or are late. Danger: clients come again, abandoned work goes on,
+    /// and a fleet once full stays full. No level outlasts its cause: the share follows the saturation itself.
     fn admit(&mut self, elapsed: f64, zones: &References, out: &mut Vec<Action>) {
         let told = self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight);
         let (busy, told) = told.fold((0.0, 0.0f64), |(sum, n), busy| (sum + busy, n + 1.0));
         let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
         let aim = (aims / self.settings.classes.len().max(1) as f64).max(1.0);
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
-        // A queue is told only once all slots are in work, and by then every answer is late: where core use
-        // is not reported, the time of probes shows how many share a core.
+        // A queue is told only once all slots are in work, and by then every answer is late: where core use is
+        // not reported, the time of probes shows how many share a core.
         let shared =
             self.fleet_median(|server| server.speed.service.mean().and(slowed(server))).unwrap_or(1.0);
         // Where probes wait like requests, those that time out tell of what waits beyond full cores.
@@ -691,8 +686,7 @@
 
     fn publish(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.drain_channel(now);
-        let used = self.messages_used();
-        if used > 1.0 {
+        if self.messages_used(self.proxies.keys()) > 1.0 {
             return;
         }
         let mut orders = Orders::default();
@@ -701,53 +695,69 @@
         if self.settings.slices > 0 {
             self.slice_lines(now, &weights, &mut orders);
         } else {
-            self.table_lines(now, &weights, used, &mut orders);
-            self.bind_joined(&mut orders);
+            self.split(now);
+            self.table_lines(now, &weights, &mut orders);
+            self.bind_joined(&weights, &mut orders);
         }
         if !orders.lines.is_empty() {
-            self.channel.mark = self.next_mark();
-            self.channel.marked.get_or_insert(now);
-            orders.actions.push(Action::Mark { mark: self.channel.mark, everyone: false });
-        }
-        for (id, lines) in orders.lines {
-            self.channel.waiting += lines + self.settings.message_head + 1.0;
-            if let Some(proxy) = self.proxies.get_mut(&id) {
-                proxy.written.push_back(now);
+            let mark = self.next_mark();
+            orders.actions.push(Action::Mark { mark, everyone: false });
+            let message = |lines: f64| lines + self.settings.message_head + 1.0;
+            let lines: BTreeMap<_, _> = orders.lines.into_iter().map(|(id, n)| (id, message(n))).collect();
+            for proxy in lines.keys() {
+                self.proxies.entry(*proxy).and_modify(|proxy| proxy.written.push_back(now));
             }
+            self.channel.send(now, mark, lines);
         }
         out.append(&mut orders.actions);
     }
 
+    /// Deals the fleet into parts, each with tables of its own, where naming all of it would leave a usual
+    /// proxy without open connections to most, or servers without room for everyone's. Danger: at size each
+    /// request pays for a connection, full servers turn connections away, and one change of a weight is a
+    /// line at every proxy. Small fleets stay whole. It may hurt where proxies of one part carry far more.
+    fn split(&mut self, now: Micros) {
+        let joined = self.proxies.len() as f64;
+        let usual = self.settings.proxies as f64 / (2 * self.settings.instances.max(1)) as f64;
+        if self.parts > 0 || joined < 1.0 || (joined < usual && self.ticked != now) {
+            return;
+        }
+        let sets = if leans(&self.settings) { self.settings.zones.max(1) as f64 } else { 1.0 };
+        let rate = self.proxies.values().filter_map(|proxy| proxy.came.mean()).sum::<f64>() / joined;
+        let kept = (rate * self.settings.idle_close.secs() / REUSE).max(PART_LEAST);
+        let by_use = (self.open().count() as f64 / sets / kept).round();
+        let room = CONNECTIONS_SHARE * self.settings.sockets_least;
+        let by_room = if room > 0.0 { (self.settings.proxies as f64 / sets / room).floor() } else { 0.0 };
+        self.parts = (by_use.max(by_room) as usize).clamp(1, self.open().count().max(1));
+        self.schemes = schemes(&self.settings, self.parts);
+    }
+
     fn next_mark(&self) -> u16 {
         (self.channel.mark + 1) % u16::MAX
     }
 
-    /// Short queue: what waits is known from the own orders; it drains at the stated pace, but not at all
-    /// while a mark stays unanswered for longer than any message should take - the channel may run slow.
+    /// Short queue: every message carries a mark, and what was not confirmed counts as waiting. Danger: on some
+    /// days the channel runs far slower than its stated pace. Marks that nobody is left to confirm are
+    /// forgotten after several times what any message should take.
     fn drain_channel(&mut self, now: Micros) {
-        let channel = &mut self.channel;
-        let elapsed = (now - channel.at).secs().max(0.0);
-        channel.at = now;
-        let pace = self.settings.lines_per_s.max(1.0);
-        let usual = channel.waiting / pace + 2.0 * self.settings.way_most.secs() + 2.0;
-        let age = channel.marked.map_or(0.0, |at| (now - at).secs());
-        if age <= usual {
-            channel.waiting = (channel.waiting - elapsed * pace).max(0.0);
-        } else if age > 4.0 * usual {
-            channel.marked = None;
-        }
+        let usual = self.channel.waiting / self.settings.lines_per_s.max(1.0);
+        let usual = usual + 2.0 * self.settings.way_most.secs() + 2.0;
+        self.channel.forget(now - Micros((4e6 * usual) as i64));
         let window = self.settings.messages_window;
         for proxy in self.proxies.values_mut() {
             proxy.written.retain(|at| now - *at <= window);
         }
     }
 
-    /// Share of the message limit in use at the fullest proxy, this turn's message counted.
-    fn messages_used(&self) -> f64 {
-        let had = self.proxies.values().map(|proxy| proxy.written.len()).max().unwrap_or(0) as f64 + 1.0;
-        let most =
-            if self.settings.messages_most > 0 { self.settings.messages_most as f64 } else { f64::MAX };
-        had / most
+    /// Share of the message limit in use at the fullest of these proxies, this turn's message counted.
+    fn messages_used<'a>(&self, proxies: impl Iterator<Item = &'a ProxyId>) -> f64 {
+        let had = proxies.filter_map(|id| self.proxies.get(id)).map(|proxy| proxy.written.len()).max();
+        let most = self.settings.messages_most;
+        if most > 0 {
+            (had.unwrap_or(0) as f64 + 1.0) / most as f64
+        } else {
+            0.0
+        }
     }
 
     /// Drains kept: a server that drains or is gone is shut out of all tables at once, whatever they name.
@@ -759,44 +769,57 @@
         }
     }
 
-    fn table_lines(&mut self, now: Micros, weights: &Lines, used: f64, orders: &mut Orders) {
-        let mut changes = Vec::new();
-        let levels = self.class_levels();
+    fn table_lines(&mut self, now: Micros, weights: &Lines, orders: &mut Orders) {
+        let (mut changes, mut tables) = (Vec::new(), BTreeMap::new());
+        let (levels, cold) = (self.class_levels(), self.cold_demand());
+        let lean = |zone: ZoneId| (zone, self.lean(weights, zone));
+        let lean: BTreeMap<ZoneId, Zones> = (0..self.settings.zones as u16).map(ZoneId).map(lean).collect();
         for scheme in self.schemes.clone() {
-            self.changes(scheme, &self.target(now, weights, scheme.zone, scheme.home_only), &mut changes);
-            self.order_levels(scheme, &levels, used <= GUARD_MESSAGES, orders);
+            let parts = scheme.zone.and_then(|zone| lean.get(&zone)).unwrap_or(&Zones::new()).clone();
+            let users = self.users(scheme);
+            let used = self.messages_used(users.iter());
+            let target = self.target(now, weights, scheme, &parts, cold);
+            self.changes(scheme, &target, self.mean_rate(&users), &mut changes);
+            self.order_levels(scheme, &levels, &users, used <= GUARD_MESSAGES, orders);
+            tables.insert(scheme.table, (users, used));
         }
         changes.sort_by(|a, b| b.guard.cmp(&a.guard).then(b.size.total_cmp(&a.size)));
-        let due = used <= ORDINARY_MESSAGES && self.updated.is_none_or(|at| now - at >= UPDATE_EVERY);
-        let mut lines = self.channel.waiting;
-        for change in changes {
-            let users = self.users(change.scheme);
+        let due = self.updated.is_none_or(|at| now - at >= UPDATE_EVERY);
+        let mut lines = self.channel.waiting + orders.lines.values().sum::<f64>();
+        for Change { scheme: Scheme { table, .. }, server, weight, guard, .. } in changes {
+            let Some((users, used)) = tables.get(&table) else { continue };
             if !users.is_empty() {
-                lines += users.len() as f64;
                 // An ordinary change that rides on a message already due costs no message: else refusals
                 // and guards under load would use up the limit, and restored servers would wait for their
                 // weight.
                 let rides = users.iter().all(|user| orders.lines.contains_key(user));
-                let ordinary = (due || rides) && lines <= ORDINARY_BACKLOG * self.settings.backlog;
-                let guard = used <= GUARD_MESSAGES && lines <= GUARD_BACKLOG * self.settings.backlog;
-                if !(ordinary || (change.guard && guard)) {
+                let head = if rides { 0.0 } else { self.settings.message_head + 1.0 };
+                let cost = users.len() as f64 * (1.0 + head);
+                let fits = |share: f64| lines + cost <= share * self.settings.backlog;
+                let ordinary = ((due && *used <= ORDINARY_MESSAGES) || rides) && fits(ORDINARY_BACKLOG);
+                if !(ordinary || (guard && *used <= GUARD_MESSAGES && fits(GUARD_BACKLOG))) {
                     continue;
                 }
-                if !change.guard && !rides {
+                lines += cost;
+                if !guard && !rides {
                     self.updated = Some(now);
                 }
             }
-            let Change { scheme: Scheme { table, .. }, server, weight, .. } = change;
             let known = self.tables.entry(table).or_default();
             known.lines.insert(server, weight);
             known.lines.retain(|_, weight| *weight > 0.0);
-            orders.give(Action::Line { table, server, weight }, users.into_iter());
+            orders.give(Action::Line { table, server, weight }, users.iter().copied());
         }
     }
 
+    fn mean_rate(&self, users: &[ProxyId]) -> f64 {
+        let rates = users.iter().filter_map(|id| self.proxies.get(id)?.came.mean());
+        rates.sum::<f64>() / users.len().max(1) as f64
+    }
+
     /// Lines that differ from what was sent. A guard's: a server's that left, or began or ceased to be
     /// usable.
-    fn changes(&self, scheme: Scheme, target: &Lines, changes: &mut Vec<Change>) {
+    fn changes(&self, scheme: Scheme, target: &Lines, rate: f64, changes: &mut Vec<Change>) {
         let sent = self.tables.get(&scheme.table).map(|table| table.lines.clone()).unwrap_or_default();
         let total = target.values().sum::<f64>().max(f64::MIN_POSITIVE);
         for server in sent.keys().chain(target.keys()).copied().collect::<BTreeSet<ServerId>>() {
@@ -808,15 +831,23 @@
             // Nobody without a server: the first line of an empty table does not wait for its turn.
             let guard = ended || cooled || sent.is_empty();
             if ended || (weight > 0.0 && (weight - old).abs() > RESEND_SHARE * old) {
-                changes.push(Change { scheme, server, weight, guard, size: (weight - old).abs() / total });
+                // Largest first: traffic moved for each line that it costs.
+                let size = rate * (weight - old).abs() / total;
+                changes.push(Change { scheme, server, weight, guard, size });
             }
         }
     }
 
     /// Levels, with a second try only after proof that the first did not run: nothing takes effect twice,
     /// and a fleet short of room is not given the same work again.
-    fn order_levels(&mut self, scheme: Scheme, levels: &[f64], may_write: bool, orders: &mut Orders) {
-        let users = self.users(scheme);
+    fn order_levels(
+        &mut self,
+        scheme: Scheme,
+        levels: &[f64],
+        users: &[ProxyId],
+        may_write: bool,
+        orders: &mut Orders,
+    ) {
         let known = self.tables.entry(scheme.table).or_default();
         for (k, &level) in levels.iter().enumerate().filter(|(k, _)| scheme.classes.has(*k)) {
             if known.levels.get(&k) != Some(&level) && (may_write || users.is_empty()) {
@@ -828,23 +859,45 @@
         }
     }
 
-    /// Puts joined proxies on their tables, as many as the channel takes now; the others follow at the next
-    /// turn.
-    fn bind_joined(&mut self, orders: &mut Orders) {
+    /// Puts joined proxies on their tables, those with most traffic first, each on the part with most room for
+    /// it, as many as the channel takes now; the others follow at the next turn.
+    fn bind_joined(&mut self, weights: &Lines, orders: &mut Orders) {
+        let mut new: Vec<_> = self.proxies.iter().filter(|(_, proxy)| !proxy.bound).collect();
+        new.sort_by(|a, b| b.1.rate().total_cmp(&a.1.rate()));
+        let new: Vec<ProxyId> = new.into_iter().map(|(id, _)| *id).collect();
+        if new.is_empty() || self.parts == 0 {
+            return;
+        }
+        // By zone, where zones have tables of their own, and part: its servers' weight, what its proxies bring.
+        let set = |zone: ZoneId| if leans(&self.settings) { zone } else { ZoneId::default() };
+        let mut room: BTreeMap<(ZoneId, usize), (f64, f64)> = BTreeMap::new();
+        for (id, server) in self.open() {
+            let part = room.entry((set(server.entry.zone), server.dealt % self.parts)).or_default();
+            part.0 += weights.get(id).copied().unwrap_or(0.0);
+        }
+        for proxy in self.proxies.values().filter(|proxy| proxy.bound) {
+            room.entry((set(proxy.zone), proxy.part)).or_default().1 += proxy.rate();
+        }
         let shut = self.servers.values().filter(|server| server.shut).count();
-        let mut waiting = self.channel.waiting;
-        for (id, proxy) in self.proxies.iter_mut().filter(|(_, proxy)| !proxy.bound) {
+        let head = self.settings.message_head + 1.0;
+        let mut waiting = self.channel.waiting + orders.lines.values().map(|n| n + head).sum::<f64>();
+        for id in new {
+            let Some(proxy) = self.proxies.get_mut(&id) else { continue };
+            let of_zone = (set(proxy.zone), 0)..=(set(proxy.zone), usize::MAX);
+            let loaded = |(weight, comes): &(f64, f64)| (comes + proxy.rate()) / weight.max(1e-6);
+            let freest = room.range(of_zone).min_by(|a, b| loaded(a.1).total_cmp(&loaded(b.1)));
+            proxy.part = freest.map_or(0, |((_, part), _)| *part);
             let tables: Vec<&Scheme> = self.schemes.iter().filter(|scheme| scheme.serves(proxy)).collect();
             let size = |s: &Scheme| self.tables.get(&s.table).map_or(0, |t| t.lines.len() + t.levels.len());
             let cost = tables.iter().map(|scheme| (1 + size(scheme) + shut) as f64).sum::<f64>();
-            let message = cost + self.settings.message_head + 1.0;
-            if waiting > 0.0 && waiting + message > GUARD_BACKLOG * self.settings.backlog {
-                continue;
+            if waiting > 0.0 && waiting + cost + head > GUARD_BACKLOG * self.settings.backlog {
+                break;
             }
-            waiting += message;
+            waiting += cost + head;
             proxy.bound = true;
-            *orders.lines.entry(*id).or_default() += cost;
-            let bind = |s: &Scheme| Action::Bind { proxy: *id, table: s.table, classes: s.classes };
+            room.entry((set(proxy.zone), proxy.part)).or_default().1 += proxy.rate();
+            *orders.lines.entry(id).or_default() += cost;
+            let bind = |s: &Scheme| Action::Bind { proxy: id, table: s.table, classes: s.classes };
             orders.actions.extend(tables.into_iter().map(bind));
         }
     }
@@ -853,7 +906,7 @@
     /// keep what they know of a slice's keys; one that is not gives way to the server the slice's number
     /// picks.
     fn slice_lines(&mut self, now: Micros, weights: &Lines, orders: &mut Orders) {
-        let usable = self.target(now, weights, None, false);
+        let usable = self.target(now, weights, Scheme::default(), &Zones::new(), self.cold_demand());
         let mark = self.next_mark();
         let proxies: BTreeSet<ProxyId> = self.proxies.keys().copied().collect();
         for (id, slice) in &mut self.slices {
@@ -888,22 +941,39 @@
     }
 }
 
-/// The tables of a deployment without slices: one shared by all proxies, and a zone's own where a class is
-/// served at home only. Where crossing zones has a price and no other instance's proxies are unseen, each
-/// zone has a shared table of its own that leans home.
-fn schemes(settings: &Settings) -> Vec<Scheme> {
+/// Zone tables: where crossing zones has a price and no other instance's proxies are unseen.
+fn leans(settings: &Settings) -> bool {
+    settings.cross_price > 0.0 && settings.instances == 1
+}
+
+/// The tables of a deployment without slices, for each part of the fleet: one shared by all proxies, or a
+/// zone's that leans home, and a zone's own where a class is served at home only.
+fn schemes(settings: &Settings, parts: usize) -> Vec<Scheme> {
     let set = |home_only: bool| {
         let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
         classes.fold(ClassSet::default(), |set, (k, _)| set.with(k))
     };
     let zones = || (0..settings.zones as u16).map(|zone| Some(ZoneId(zone)));
-    let leans = settings.cross_price > 0.0 && settings.instances == 1;
-    let shared: Vec<_> = if leans { zones().collect() } else { vec![None] };
+    let shared: Vec<_> = if leans(settings) { zones().collect() } else { vec![None] };
     let tables = shared.into_iter().map(|zone| (zone, false)).chain(zones().map(|zone| (zone, true)));
-    let scheme =
-        |(k, (zone, home_only))| Scheme { table: TableId(k), zone, home_only, classes: set(home_only) };
-    let schemes = (0..).zip(tables).map(scheme);
-    schemes.filter(|scheme| scheme.classes != ClassSet::default()).collect()
+    let tables = tables.filter(|(_, home_only)| set(*home_only) != ClassSet::default());
+    let tables = tables.flat_map(|(zone, home_only)| (0..parts).map(move |part| (zone, home_only, part)));
+    let scheme = |(k, (zone, home_only, part))| {
+        let (table, classes) = (TableId(k), set(home_only));
+        Scheme { table, zone, home_only, part, classes }
+    };
+    (0..).zip(tables).map(scheme).collect()
+}
+
+/// Each zone's share of the whole; none of nothing.
+fn shares(values: impl Iterator<Item = (ZoneId, f64)>) -> Zones {
+    let (mut zones, mut all) = (Zones::new(), 0.0);
+    for (zone, value) in values.filter(|(_, value)| *value > 0.0) {
+        *zones.entry(zone).or_default() += value;
+        all += value;
+    }
+    zones.values_mut().for_each(|value| *value /= all);
+    zones
 }
 
 fn total_size<'a>(servers: impl Iterator<Item = (&'a ServerId, &'a Server)>) -> f64 {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -8,6 +8,9 @@
 /// Weights by server.
 pub(crate) type Lines = BTreeMap<ServerId, f64>;
 
+/// By zone of the servers: a factor on their weights.
+pub(crate) type Zones = BTreeMap<ZoneId, f64>;
+
 /// By zone: the fleet's median error share and latency.
 pub(crate) type References = BTreeMap<ZoneId, (f64, f64)>;
 
@@ -81,6 +84,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Server {
     pub entry: Entry,
+    pub dealt: usize,
     pub heard: BTreeMap<ZoneId, Evidence>,
     pub fresh_good: f64,
     pub speed: Speed,
@@ -119,9 +123,16 @@
     pub zone: ZoneId,
     pub came: Fading,
     pub bound: bool,
+    pub part: usize,
     pub written: VecDeque<Micros>,
 }
 
+impl Proxy {
+    pub fn rate(&self) -> f64 {
+        self.came.mean().unwrap_or(0.0)
+    }
+}
+
 /// What a table holds by the own orders.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Table {
@@ -131,27 +142,64 @@
 
 /// Which table serves whom: one for all proxies, or one for those of a zone; with that zone's servers only,
 /// for classes that stay at home.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Scheme {
     pub table: TableId,
     pub zone: Option<ZoneId>,
     pub home_only: bool,
+    pub part: usize,
     pub classes: ClassSet,
 }
 
 impl Scheme {
     pub fn serves(&self, proxy: &Proxy) -> bool {
-        self.zone.is_none_or(|zone| zone == proxy.zone)
+        self.part == proxy.part && self.zone.is_none_or(|zone| zone == proxy.zone)
     }
 }
 
-/// What the own orders did to the channel, as far as it can be told from here.
-#[derive(Clone, Copy, Debug, Default)]
+/// What was written to the channel and not confirmed yet: in the order written, a turn's mark and lines by
+/// proxy; and their sum.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Channel {
+    pub turns: VecDeque<(Micros, u16, BTreeMap<ProxyId, f64>)>,
     pub waiting: f64,
-    pub at: Micros,
     pub mark: u16,
-    pub marked: Option<Micros>,
+}
+
+impl Channel {
+    pub fn send(&mut self, now: Micros, mark: u16, lines: BTreeMap<ProxyId, f64>) {
+        self.mark = mark;
+        self.turns.push_back((now, mark, lines));
+        self.count();
+    }
+    /// Messages leave in order: one that arrived tells that all of earlier turns have left.
+    pub fn confirmed(&mut self, proxy: ProxyId, mark: u16) {
+        if let Some(turn) = self.turns.iter().position(|(_, sent, _)| *sent == mark) {
+            self.turns.drain(..turn);
+            self.lost_of_first(proxy);
+            self.count();
+        }
+    }
+    /// What waits for a proxy whose stream broke is lost.
+    pub fn lost(&mut self, proxy: ProxyId) {
+        for (_, _, lines) in &mut self.turns {
+            lines.remove(&proxy);
+        }
+        self.count();
+    }
+    pub fn forget(&mut self, before: Micros) {
+        self.turns.retain(|(at, _, _)| *at >= before);
+        self.count();
+    }
+    fn lost_of_first(&mut self, proxy: ProxyId) {
+        if let Some((_, _, lines)) = self.turns.front_mut() {
+            lines.remove(&proxy);
+        }
+    }
+    fn count(&mut self) {
+        self.turns.retain(|(_, _, lines)| !lines.is_empty());
+        self.waiting = self.turns.iter().flat_map(|(_, _, lines)| lines.values()).sum();
+    }
 }
 
 /// A change to a table's line that waits to be sent.
