--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -96,6 +96,12 @@
 const REUSE: f64 = 4.0;
 /// Least servers of a table that names part of the fleet: a fifth of them failing must leave enough.
 const PART_LEAST: f64 = 16.0;
+/// The fleet's median share of failed tries, while probes are answered and nothing is saturated, from which
+/// tables are narrowed; for so long after the last sign; to so many proxies and at least so many servers each.
+const NARROW_FROM: f64 = 0.3;
+const NARROW_FOR: Micros = Micros(30_000_000);
+const NARROW_PROXIES: f64 = 2.0;
+const NARROW_LEAST: f64 = 5.0;
 /// Share of a server's connections that the proxies of its tables may need.
 const CONNECTIONS_SHARE: f64 = 0.5;
 /// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
@@ -212,6 +218,9 @@
     further: f64,
     /// Parts that the fleet is dealt into; 0 until the first proxies tell what they carry.
     parts: usize,
+    usual_parts: usize,
+    /// When tries last failed everywhere while servers idled.
+    narrowed: Option<Micros>,
     ticked: Micros,
     updated: Option<Micros>,
     subscribe_at: Option<Micros>,
@@ -379,6 +388,10 @@
         self.further = self.way();
         let zones = self.references();
         let probes_count = self.probes_count();
+        let failing = zones.values().map(|zone| zone.0).reduce(f64::min).unwrap_or(0.0);
+        if probes_count && failing > NARROW_FROM && self.admission.strain < REFUSE_FROM {
+            self.narrowed = Some(now);
+        }
         let slowed_fleet = self.fleet_median(slowed).unwrap_or(1.0);
         let fleet_saturated = self.fleet_median(|server| Some(server.saturated())).unwrap_or(0.0);
         // Terms count by what the others can take: work moved off one server of a full fleet jams the next. It
@@ -717,19 +730,31 @@
     /// request pays for a connection, full servers turn connections away, and one change of a weight is a
     /// line at every proxy. Small fleets stay whole. It may hurt where proxies of one part carry far more.
     fn split(&mut self, now: Micros) {
-        let joined = self.proxies.len() as f64;
+        let (joined, servers) = (self.proxies.len() as f64, self.open().count() as f64);
         let usual = self.settings.proxies as f64 / (2 * self.settings.instances.max(1)) as f64;
-        if self.parts > 0 || joined < 1.0 || (joined < usual && self.ticked != now) {
+        if joined < 1.0 || (self.parts == 0 && joined < usual && self.ticked != now) {
             return;
         }
         let sets = if leans(&self.settings) { self.settings.zones.max(1) as f64 } else { 1.0 };
-        let rate = self.proxies.values().filter_map(|proxy| proxy.came.mean()).sum::<f64>() / joined;
-        let kept = (rate * self.settings.idle_close.secs() / REUSE).max(PART_LEAST);
-        let by_use = (self.open().count() as f64 / sets / kept).round();
-        let room = CONNECTIONS_SHARE * self.settings.sockets_least;
-        let by_room = if room > 0.0 { (self.settings.proxies as f64 / sets / room).floor() } else { 0.0 };
-        self.parts = (by_use.max(by_room) as usize).clamp(1, self.open().count().max(1));
-        self.schemes = schemes(&self.settings, self.parts);
+        let (proxies, servers) = (self.settings.proxies as f64 / sets, servers / sets);
+        if self.usual_parts == 0 {
+            let rate = self.proxies.values().map(Proxy::rate).sum::<f64>() / joined;
+            let kept = (rate * self.settings.idle_close.secs() / REUSE).max(PART_LEAST);
+            let room = CONNECTIONS_SHARE * self.settings.sockets_least;
+            let by_room = if room > 0.0 { (proxies / room).floor() } else { 0.0 };
+            self.usual_parts = (servers / kept).round().max(by_room).clamp(1.0, servers.max(1.0)) as usize;
+        }
+        let narrow = (proxies / NARROW_PROXIES).min(servers / NARROW_LEAST) as usize;
+        let narrowed = self.narrowed.is_some_and(|at| now - at < NARROW_FOR);
+        let parts = if narrowed { narrow.max(self.usual_parts) } else { self.usual_parts };
+        if parts != self.parts {
+            // Tables under new numbers, which cost nothing while nobody uses them.
+            let first = self.schemes.last().map_or(0, |scheme| (scheme.table.0 + 1) % (u16::MAX / 2));
+            self.schemes = schemes(&self.settings, parts, first);
+            self.parts = parts;
+            self.tables.clear();
+            self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
+        }
     }
 
     fn next_mark(&self) -> u16 {
@@ -948,7 +973,7 @@
 
 /// The tables of a deployment without slices, for each part of the fleet: one shared by all proxies, or a
 /// zone's that leans home, and a zone's own where a class is served at home only.
-fn schemes(settings: &Settings, parts: usize) -> Vec<Scheme> {
+fn schemes(settings: &Settings, parts: usize, first: u16) -> Vec<Scheme> {
     let set = |home_only: bool| {
         let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
         classes.fold(ClassSet::default(), |set, (k, _)| set.with(k))
@@ -962,7 +987,7 @@
         let (table, classes) = (TableId(k), set(home_only));
         Scheme { table, zone, home_only, part, classes }
     };
-    (0..).zip(tables).map(scheme).collect()
+    (first..u16::MAX).zip(tables).map(scheme).collect()
 }
 
 /// Each zone's share of the whole; none of nothing.
