--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -484,40 +484,20 @@
         told.into_iter().map(|(id, (logs, worth))| (id, ((logs / worth).exp(), worth))).collect()
     }
 
-    /// How fast each server is for its listed weight, against the fleet's; 1 where nothing tells. A kind's
-    /// speed is known early, from all its servers.
+    /// How fast each server is for its listed weight, against the fleet's, or, where listed weights are
+    /// registered capacities, which hold the kind's speed, against its kind's; 1 where nothing tells.
     fn speeds(&self) -> BTreeMap<ServerId, f64> {
-        let known = |reports: f64| reports / (reports + PRIOR_REPORTS);
+        let nominal = self.settings.listed == Listed::Nominal;
+        let group = |server: &Server| if nominal { server.entry.kind } else { 0 };
         let gauged = self.gauged();
-        let told = |id: &ServerId| gauged.get(id).copied();
-        // Requests served at full use tell a capacity, whatever the listed weight means; a speed tells it
-        // only where listed weights are sizes: a registered capacity already holds the kind's.
-        let capacity = |kind: Option<u32>| {
-            let alike = self.open().filter(|(_, s)| kind.is_none_or(|kind| kind == s.entry.kind));
-            let uses = alike.clone().map(|(_, s)| (s.speed.per_util.sum, s.speed.per_util.weight, s.size()));
-            let (served, used, size) =
-                uses.fold((0.0, 0.0, 0.0), |a, u| (a.0 + u.0, a.1 + u.1, a.2 + u.1 * u.2));
-            if size > 0.0 && served > 0.0 {
-                return Some((served / size, used));
-            }
-            let speeds =
-                alike.filter(|_| self.settings.listed != Listed::Nominal).filter_map(|(id, _)| told(id));
-            let reports = speeds.clone().map(|(_, reports)| reports).sum();
-            quantile(speeds.map(|(speed, _)| speed), 0.5).map(|speed| (speed, reports))
-        };
-        let fleet = capacity(None);
+        let told = |of: u32| self.open().filter(move |(_, s)| group(s) == of).map(|(id, _)| id);
+        let told = |of: u32| told(of).filter_map(|id| Some((*id, *gauged.get(id)?)));
         let mut speeds = BTreeMap::new();
-        for kind in self.open().map(|(_, server)| server.entry.kind).collect::<BTreeSet<u32>>() {
-            let of_kind = capacity(Some(kind)).zip(fleet);
-            let of_kind =
-                of_kind.map_or(1.0, |((value, reports), (fleet, _))| (value / fleet).powf(known(reports)));
-            let alike = self.open().filter(|(_, server)| server.entry.kind == kind).map(|(id, _)| *id);
-            let usual = quantile(alike.clone().filter_map(|id| told(&id)).map(|(speed, _)| speed), 0.5);
-            for id in alike {
-                let own = told(&id).zip(usual);
-                let own = own.map_or(1.0, |((speed, reports), usual)| (speed / usual).powf(known(reports)));
-                speeds.insert(id, of_kind * own);
-            }
+        for group in self.open().map(|(_, server)| group(server)).collect::<BTreeSet<u32>>() {
+            let usual = quantile(told(group).map(|(_, (speed, _))| speed), 0.5).unwrap_or(1.0);
+            let known = |reports: f64| reports / (reports + PRIOR_REPORTS);
+            speeds
+                .extend(told(group).map(|(id, (speed, reports))| (id, (speed / usual).powf(known(reports)))));
         }
         speeds
     }
