--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -117,19 +117,6 @@
 
 const TICK_TIMER: u32 = 1;
 
-impl Speed {
-    fn report(&mut self, load: &Load) {
-        if let Some(ms) = load.latency_ms.filter(|ms| *ms > 0.0) {
-            // Shared cores stretch the service time of a busy server: what it shows while none waits tells more.
-            let weight = 1.0 / (1.0 + load.queue.unwrap_or(0.0));
-            self.service.add(ms * weight, weight);
-        }
-        if let (Some(qps), Some(util)) = (load.qps, load.util) {
-            self.per_util.add(qps, util);
-        }
-    }
-}
-
 impl Server {
     fn new(entry: Entry, warm: bool) -> Self {
         let mut server = Server { entry, return_after: RESTORE_TICKS, ..Server::default() };
@@ -157,10 +144,12 @@
         if let Some(busy) = load.queue.map(|queue| full(queue, BUSY_QUEUE)).or(by_use) {
             self.busy.add(busy, 1.0);
         }
-        // Servers refresh their reports only now and then: one that repeats the last is no news of their
-        // speed.
-        if std::mem::replace(&mut self.last_load, *load) != *load {
-            self.speed.report(load);
+        // Servers refresh their reports only now and then: one that repeats the last is no news of their speed.
+        // Shared cores stretch the service time of a busy server: what it shows while none waits tells more.
+        let news = std::mem::replace(&mut self.last_load, *load) != *load;
+        if let Some(ms) = load.latency_ms.filter(|ms| news && *ms > 0.0) {
+            let weight = 1.0 / (1.0 + load.queue.unwrap_or(0.0));
+            self.speed.service.add(ms * weight, weight);
         }
     }
 
@@ -465,51 +454,38 @@
         quantile(further, 0.5).unwrap_or(0.0).max(0.0)
     }
 
-    /// By server: its speed against the fleet's median, and how many reports tell it. Danger: either gauge alone
-    /// can be wrong for good: probes are precise but slight, service times few and of mixed requests.
-    fn gauged(&self) -> BTreeMap<ServerId, (f64, f64)> {
+    /// How fast each server is for its listed weight, against the fleet's, or, where listed weights are
+    /// registered capacities, which hold the kind's speed, against its kind's; 1 where nothing tells. Danger:
+    /// either gauge alone can be wrong for good: probes are precise but slight, service times few and mixed.
+    fn speeds(&self) -> Lines {
         let gauges: [fn(&Speed) -> Option<(f64, f64)>; 2] = [
             |speed| speed.probes.mean().map(|speed| (speed, PROBE_WORTH)),
             |speed| speed.service.mean().map(|ms| (1.0 / ms, speed.service.weight)),
         ];
+        let nominal = self.settings.listed == Listed::Nominal;
+        let group = |server: &Server| if nominal { server.entry.kind } else { 0 };
+        let groups: BTreeSet<u32> = self.open().map(|(_, server)| group(server)).collect();
         let mut told: BTreeMap<ServerId, (f64, f64)> = BTreeMap::new();
-        for gauge in gauges {
-            let read = self.open().filter_map(|(id, server)| Some((*id, gauge(&server.speed)?)));
+        for (of, gauge) in groups.into_iter().flat_map(|of| gauges.map(|gauge| (of, gauge))) {
+            let read = self.open().filter(|(_, s)| group(s) == of);
+            let read = read.filter_map(|(id, server)| Some((*id, gauge(&server.speed)?)));
             let median = quantile(read.clone().map(|(_, (speed, _))| speed), 0.5).unwrap_or(1.0);
             for (id, (speed, worth)) in read {
                 let told = told.entry(id).or_default();
                 *told = (told.0 + worth * (speed / median).ln(), told.1 + worth);
             }
         }
-        told.into_iter().map(|(id, (logs, worth))| (id, ((logs / worth).exp(), worth))).collect()
+        told.into_iter().map(|(id, (logs, worth))| (id, (logs / (worth + PRIOR_REPORTS)).exp())).collect()
     }
 
-    /// How fast each server is for its listed weight, against the fleet's, or, where listed weights are
-    /// registered capacities, which hold the kind's speed, against its kind's; 1 where nothing tells.
-    fn speeds(&self) -> BTreeMap<ServerId, f64> {
-        let nominal = self.settings.listed == Listed::Nominal;
-        let group = |server: &Server| if nominal { server.entry.kind } else { 0 };
-        let gauged = self.gauged();
-        let told = |of: u32| self.open().filter(move |(_, s)| group(s) == of).map(|(id, _)| id);
-        let told = |of: u32| told(of).filter_map(|id| Some((*id, *gauged.get(id)?)));
-        let mut speeds = BTreeMap::new();
-        for group in self.open().map(|(_, server)| group(server)).collect::<BTreeSet<u32>>() {
-            let usual = quantile(told(group).map(|(_, (speed, _))| speed), 0.5).unwrap_or(1.0);
-            let known = |reports: f64| reports / (reports + PRIOR_REPORTS);
-            speeds
-                .extend(told(group).map(|(id, (speed, reports))| (id, (speed / usual).powf(known(reports)))));
-        }
-        speeds
-    }
-
-    /// The weight each open server should have. Panic threshold: while too little of the listed weight
-    /// would be left in use, the withdrawn keep a little. Danger: a trouble that is not the servers' own
-    /// empties the tables.
-    fn weights(&self, now: Micros) -> Lines {
+    /// The weight each open server should have. Panic threshold: while too little of the listed weight would
+    /// be left in use, the withdrawn keep a little. Danger: a trouble that is not theirs empties the tables.
+    fn weigh(&mut self, now: Micros) {
         let speeds = self.speeds();
         let used = self.open().filter(|(_, server)| server.state != State::Withdrawn);
         let panic = total_size(used) < PANIC_SHARE * total_size(self.open());
-        let weight = |id: &ServerId, server: &Server| {
+        for (id, server) in &mut self.servers {
+            server.warmth = server.warmth(now, &self.settings);
             let speed = speeds.get(id).copied().unwrap_or(1.0).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
             let share = match server.state {
                 State::Full => 1.0,
@@ -517,39 +493,33 @@
                 State::Withdrawn if panic => LEAST_SHARE,
                 State::Withdrawn => 0.0,
             };
-            server.size() * speed * share.min(server.ceiling).min(server.warmth(now, &self.settings))
-        };
-        self.open().map(|(id, server)| (*id, weight(id, server))).collect()
+            server.weight = server.size() * speed * share.min(server.ceiling).min(server.warmth);
+        }
     }
 
     /// The lines a table should have.
-    fn target(&self, now: Micros, weights: &Lines, scheme: Scheme, lean: &Zones, cold: (f64, bool)) -> Lines {
+    fn target(&self, scheme: Scheme, lean: &Zones, cold: (f64, bool)) -> Lines {
         let Scheme { zone, home_only, part, .. } = scheme;
-        let within = |server: &Server| {
-            (!home_only || zone == Some(server.entry.zone)) && server.dealt % self.parts.max(1) == part
-        };
-        let weight = |id: &ServerId, server: &Server| {
-            let part = if home_only { None } else { lean.get(&server.entry.zone) };
-            weights.get(id).copied().unwrap_or(0.0) * part.copied().unwrap_or(1.0)
-        };
+        let of_part = |server: &&Server| server.dealt % self.parts.max(1) == part;
+        let within = |server: &Server| (!home_only || zone == Some(server.entry.zone)) && of_part(&server);
+        let lean = |server: &Server| if home_only { None } else { lean.get(&server.entry.zone).copied() };
         let here = self.open().filter(|(_, server)| within(server));
-        let mut lines: Lines = here.clone().map(|(id, server)| (*id, weight(id, server))).collect();
+        let mut lines: Lines = here.clone().map(|(id, s)| (*id, s.weight * lean(s).unwrap_or(1.0))).collect();
         if lines.values().all(|weight| *weight <= 0.0) {
             // Nobody without a server: servers all withdrawn come back, at the part they can surely do.
-            lines = here.map(|(id, s)| (*id, s.size() * s.warmth(now, &self.settings))).collect();
+            lines = here.map(|(id, server)| (*id, server.size() * server.warmth)).collect();
         }
         let known = self.servers.values().filter(|server| within(server)).map(Server::size).sum();
-        let listed = self.open().filter(|(_, server)| server.dealt % self.parts.max(1) == part);
-        self.spare_the_cold(now, (known, total_size(listed)), cold, &mut lines);
+        let listed = self.open().map(|(_, server)| server).filter(of_part).map(Server::size).sum();
+        self.spare_the_cold(known, listed, cold, &mut lines);
         lines
     }
 
     /// By zone of the servers: the factor on their weights in a zone's table. What the zone's own servers
     /// can do stays at home, what is beyond goes where others have more than their own zone brings; a
     /// little goes everywhere, so that every table names all servers and all are heard of.
-    fn lean(&self, weights: &Lines, zone: ZoneId) -> Zones {
-        let weight = |id: &ServerId| weights.get(id).copied().unwrap_or(0.0);
-        let can = shares(self.open().map(|(id, server)| (server.entry.zone, weight(id))));
+    fn lean(&self, zone: ZoneId) -> Zones {
+        let can = shares(self.open().map(|(_, server)| (server.entry.zone, server.weight)));
         let comes = shares(self.proxies.values().map(|proxy| (proxy.zone, proxy.rate())));
         if can.is_empty() || comes.is_empty() {
             return Zones::new();
@@ -582,33 +552,27 @@
 
     /// No cold server pushed over: a cold one's part of the table stays under what makes it fall, with all
     /// proxies together, few other servers left, and clients coming again and again.
-    fn spare_the_cold(
-        &self,
-        now: Micros,
-        (known, listed): (f64, f64),
-        (demand, out): (f64, bool),
-        lines: &mut Lines,
-    ) {
-        let warmth = |id: &ServerId| self.servers.get(id).map_or(1.0, |s| s.warmth(now, &self.settings));
-        let warm = |lines: &Lines| -> f64 {
-            lines.iter().filter(|(id, _)| warmth(id) >= 1.0).map(|(_, weight)| weight).sum()
+    fn spare_the_cold(&self, known: f64, listed: f64, (demand, out): (f64, bool), lines: &mut Lines) {
+        let of = |id: &ServerId| self.servers.get(id).map_or((1.0, 0.0), |s| (s.warmth, s.size()));
+        let sum = |lines: &Lines| -> f64 {
+            lines.iter().filter(|(id, _)| of(id).0 >= 1.0).map(|(_, weight)| weight).sum()
         };
-        if warm(lines) <= 0.0 {
+        if sum(lines) <= 0.0 {
             // Warm servers that were withdrawn are still to be picked before cold ones alone.
-            for (id, weight) in lines.iter_mut().filter(|(id, _)| warmth(id) >= 1.0) {
-                *weight = LEAST_SHARE * self.servers.get(id).map_or(0.0, Server::size);
+            for (id, weight) in lines.iter_mut().filter(|(id, _)| of(id).0 >= 1.0) {
+                *weight = LEAST_SHARE * of(id).1;
             }
         }
-        let warm = warm(lines);
+        let warm = sum(lines);
         // Cold servers alone, against the work of all servers ever known here: nobody is sent to them until
         // they can surely bear it. It may refuse more than needed when a deployment was just started whole.
-        let bear: f64 = lines.keys().filter_map(|id| Some(warmth(id) * self.servers.get(id)?.size())).sum();
+        let bear: f64 = lines.keys().map(|id| of(id).0 * of(id).1).sum();
         if warm <= 0.0 && bear * self.settings.fall_multiple < COLD_ALONE * known {
             lines.values_mut().for_each(|weight| *weight = 0.0);
         }
-        for (id, weight) in lines.iter_mut().filter(|(id, _)| warm > 0.0 && warmth(id) < 1.0) {
-            let own = self.servers.get(id).map_or(0.0, Server::size);
-            let part = (self.settings.fall_multiple / demand * warmth(id) * own / listed).min(0.9);
+        for (id, weight) in lines.iter_mut().filter(|(id, _)| warm > 0.0 && of(id).0 < 1.0) {
+            let (warmth, own) = of(id);
+            let part = (self.settings.fall_multiple / demand * warmth * own / listed).min(0.9);
             *weight = if out { 0.0 } else { weight.min(warm * part / (1.0 - part)) };
         }
     }
@@ -684,13 +648,13 @@
         }
         let mut orders = Orders::default();
         self.shut_the_leaving(&mut orders);
-        let weights = self.weights(now);
+        self.weigh(now);
         if self.settings.slices > 0 {
-            self.slice_lines(now, &weights, &mut orders);
+            self.slice_lines(now, &mut orders);
         } else {
             self.split(now);
-            self.table_lines(now, &weights, &mut orders);
-            self.bind_joined(&weights, &mut orders);
+            self.table_lines(now, &mut orders);
+            self.bind_joined(&mut orders);
         }
         if !orders.lines.is_empty() {
             let mark = self.next_mark();
@@ -774,16 +738,16 @@
         }
     }
 
-    fn table_lines(&mut self, now: Micros, weights: &Lines, orders: &mut Orders) {
+    fn table_lines(&mut self, now: Micros, orders: &mut Orders) {
         let (mut changes, mut tables) = (Vec::new(), BTreeMap::new());
         let (levels, cold) = (self.class_levels(), self.cold_demand());
-        let lean = |zone: ZoneId| (zone, self.lean(weights, zone));
+        let lean = |zone: ZoneId| (zone, self.lean(zone));
         let lean: BTreeMap<ZoneId, Zones> = (0..self.settings.zones as u16).map(ZoneId).map(lean).collect();
         for scheme in self.schemes.clone() {
             let parts = scheme.zone.and_then(|zone| lean.get(&zone)).unwrap_or(&Zones::new()).clone();
             let users = self.users(scheme);
             let used = self.messages_used(users.iter());
-            let target = self.target(now, weights, scheme, &parts, cold);
+            let target = self.target(scheme, &parts, cold);
             self.changes(scheme, &target, self.mean_rate(&users), &mut changes);
             self.order_levels(scheme, &levels, &users, used <= GUARD_MESSAGES, orders);
             tables.insert(scheme.table, (users, used));
@@ -866,7 +830,7 @@
 
     /// Puts joined proxies on their tables, those with most traffic first, each on the part with most room for
     /// it, as many as the channel takes now; the others follow at the next turn.
-    fn bind_joined(&mut self, weights: &Lines, orders: &mut Orders) {
+    fn bind_joined(&mut self, orders: &mut Orders) {
         let mut new: Vec<_> = self.proxies.iter().filter(|(_, proxy)| !proxy.bound).collect();
         new.sort_by(|a, b| b.1.rate().total_cmp(&a.1.rate()));
         let new: Vec<ProxyId> = new.into_iter().map(|(id, _)| *id).collect();
@@ -876,9 +840,9 @@
         // By zone, where zones have tables of their own, and part: its servers' weight, what its proxies bring.
         let set = |zone: ZoneId| if leans(&self.settings) { zone } else { ZoneId::default() };
         let mut room: BTreeMap<(ZoneId, usize), (f64, f64)> = BTreeMap::new();
-        for (id, server) in self.open() {
-            let part = room.entry((set(server.entry.zone), server.dealt % self.parts)).or_default();
-            part.0 += weights.get(id).copied().unwrap_or(0.0);
+        for (_, server) in self.open() {
+            let part = (set(server.entry.zone), server.dealt % self.parts);
+            room.entry(part).or_default().0 += server.weight;
         }
         for proxy in self.proxies.values().filter(|proxy| proxy.bound) {
             room.entry((set(proxy.zone), proxy.part)).or_default().1 += proxy.rate();
@@ -910,8 +874,8 @@
     /// Tables of slices in this instance's charge: a line stays while its server is usable, since servers
     /// keep what they know of a slice's keys; one that is not gives way to the server the slice's number
     /// picks.
-    fn slice_lines(&mut self, now: Micros, weights: &Lines, orders: &mut Orders) {
-        let usable = self.target(now, weights, Scheme::default(), &Zones::new(), self.cold_demand());
+    fn slice_lines(&mut self, now: Micros, orders: &mut Orders) {
+        let usable = self.target(Scheme::default(), &Zones::new(), self.cold_demand());
         let mark = self.next_mark();
         let proxies: BTreeSet<ProxyId> = self.proxies.keys().copied().collect();
         for (id, slice) in &mut self.slices {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -52,18 +52,16 @@
     pub cost: Fading,
 }
 
-/// What tells a server's speed: probes, in probes a second of their own time; service time; requests served
-/// over core use.
+/// What tells a server's speed: probes, in probes a second of their own time, and service time.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Speed {
     pub probes: Fading,
     pub service: Fading,
-    pub per_util: Fading,
 }
 
 impl Speed {
     pub fn fade(&mut self, elapsed: f64, half_life: f64) {
-        for part in [&mut self.probes, &mut self.service, &mut self.per_util] {
+        for part in [&mut self.probes, &mut self.service] {
             part.fade(elapsed, half_life);
         }
     }
@@ -85,6 +83,8 @@
 pub(crate) struct Server {
     pub entry: Entry,
     pub dealt: usize,
+    pub weight: f64,
+    pub warmth: f64,
     pub heard: BTreeMap<ZoneId, Evidence>,
     pub fresh_good: f64,
     pub speed: Speed,
