--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -590,13 +590,18 @@
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
         // A queue is told only once all slots are in work, and by then every answer is late: where core use is
         // not reported, the time of probes shows how many share a core.
-        let shared =
-            self.fleet_median(|server| server.speed.service.mean().and(slowed(server))).unwrap_or(1.0);
-        // Where probes wait like requests, those that time out tell of what waits beyond full cores.
-        let mute = self.open().filter(|(_, server)| server.probing.failing > 0).count() as f64;
-        let mute = mute / self.open().count().max(1) as f64;
+        let shared = self.fleet_median(|server| server.speed.service.mean().and(slowed(server)));
+        let shared = full(shared.unwrap_or(1.0), BUSY_STRETCH);
+        // Where probes wait like requests, those that time out tell of what waits beyond full cores. The median
+        // zone counts: what is mute in one alone may be the way there, and refusing frees no link.
+        let mut zone: BTreeMap<ZoneId, (f64, f64)> = BTreeMap::new();
+        for (_, server) in self.servers.iter().filter(|(_, server)| server.open()) {
+            let (mute, all) = zone.entry(server.entry.zone).or_default();
+            (*mute, *all) = (*mute + f64::from(u8::from(server.probing.failing > 0)), *all + 1.0);
+        }
+        let mute = quantile(zone.values().map(|(mute, all)| mute / all), 0.5).unwrap_or(0.0);
         let failing = zones.values().map(failing).fold(0.0, f64::max);
-        let reported = (busy / told.max(1.0)).max(full(shared, BUSY_STRETCH)).max(mute);
+        let reported = (busy / told.max(1.0)).max(shared).max(mute);
         let term = if told > 0.0 { reported } else { failing };
         let admission = &mut self.admission;
         admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE_S));
