--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -102,6 +102,8 @@
 const NARROW_FOR: Micros = Micros(30_000_000);
 const NARROW_PROXIES: f64 = 2.0;
 const NARROW_LEAST: f64 = 5.0;
+/// A proxy moves to another part once its own bears so many times what the other would with it.
+const REDEAL: f64 = 1.5;
 /// Share of a server's connections that the proxies of its tables may need.
 const CONNECTIONS_SHARE: f64 = 0.5;
 /// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
@@ -500,8 +502,11 @@
     /// The lines a table should have.
     fn target(&self, scheme: Scheme, lean: &Zones, cold: (f64, bool)) -> Lines {
         let Scheme { zone, home_only, part, .. } = scheme;
+        let home = |server: &Server| !home_only || zone == Some(server.entry.zone);
         let of_part = |server: &&Server| server.dealt % self.parts.max(1) == part;
-        let within = |server: &Server| (!home_only || zone == Some(server.entry.zone)) && of_part(&server);
+        // Nobody without a server: a part that lost all its warm ones borrows those of the other parts.
+        let bare = !self.open().any(|(_, server)| home(server) && of_part(&server) && server.warmth >= 1.0);
+        let within = |server: &Server| home(server) && (bare || of_part(&server));
         let lean = |server: &Server| if home_only { None } else { lean.get(&server.entry.zone).copied() };
         let here = self.open().filter(|(_, server)| within(server));
         let mut lines: Lines = here.clone().map(|(id, s)| (*id, s.weight * lean(s).unwrap_or(1.0))).collect();
@@ -643,7 +648,11 @@
     // ---- Rule guards and pacing ----
 
     fn users(&self, scheme: Scheme) -> Vec<ProxyId> {
-        self.proxies.iter().filter(|(_, p)| p.bound && scheme.serves(p)).map(|(id, _)| *id).collect()
+        self.proxies
+            .iter()
+            .filter(|(_, p)| p.bound && p.part == scheme.part && scheme.serves(p))
+            .map(|(id, _)| *id)
+            .collect()
     }
 
     fn publish(&mut self, now: Micros, out: &mut Vec<Action>) {
@@ -834,18 +843,13 @@
     }
 
     /// Puts joined proxies on their tables, those with most traffic first, each on the part with most room for
-    /// it, as many as the channel takes now; the others follow at the next turn.
+    /// it, as many as the channel takes now; the others follow at the next turn. A proxy whose part bears far
+    /// more than another, since it lost servers or was dealt badly, moves there.
     fn bind_joined(&mut self, orders: &mut Orders) {
-        let mut new: Vec<_> = self.proxies.iter().filter(|(_, proxy)| !proxy.bound).collect();
-        new.sort_by(|a, b| b.1.rate().total_cmp(&a.1.rate()));
-        let new: Vec<ProxyId> = new.into_iter().map(|(id, _)| *id).collect();
-        if new.is_empty() || self.parts == 0 {
-            return;
-        }
         // By zone, where zones have tables of their own, and part: its servers' weight, what its proxies bring.
         let set = |zone: ZoneId| if leans(&self.settings) { zone } else { ZoneId::default() };
         let mut room: BTreeMap<(ZoneId, usize), (f64, f64)> = BTreeMap::new();
-        for (_, server) in self.open() {
+        for (_, server) in self.open().filter(|_| self.parts > 0) {
             let part = (set(server.entry.zone), server.dealt % self.parts);
             room.entry(part).or_default().0 += server.weight;
         }
@@ -855,23 +859,31 @@
         let shut = self.servers.values().filter(|server| server.shut).count();
         let head = self.settings.message_head + 1.0;
         let mut waiting = self.channel.waiting + orders.lines.values().map(|n| n + head).sum::<f64>();
-        for id in new {
-            let Some(proxy) = self.proxies.get_mut(&id) else { continue };
-            let of_zone = (set(proxy.zone), 0)..=(set(proxy.zone), usize::MAX);
-            let loaded = |(weight, comes): &(f64, f64)| (comes + proxy.rate()) / weight.max(1e-6);
-            let freest = room.range(of_zone).min_by(|a, b| loaded(a.1).total_cmp(&loaded(b.1)));
-            proxy.part = freest.map_or(0, |((_, part), _)| *part);
-            let tables: Vec<&Scheme> = self.schemes.iter().filter(|scheme| scheme.serves(proxy)).collect();
+        let mut proxies: Vec<(&ProxyId, &mut Proxy)> = self.proxies.iter_mut().collect();
+        proxies.sort_by(|a, b| a.1.bound.cmp(&b.1.bound).then(b.1.rate().total_cmp(&a.1.rate())));
+        for (id, proxy) in proxies.into_iter().filter(|_| self.parts > 0) {
+            let (zone, rate) = (set(proxy.zone), proxy.rate());
+            let loaded = |(weight, comes): &(f64, f64), more: f64| (comes + more) / weight.max(1e-6);
+            let parts = room.range((zone, 0)..=(zone, usize::MAX));
+            let freest = parts.min_by(|a, b| loaded(a.1, rate).total_cmp(&loaded(b.1, rate)));
+            let (part, freest) = freest.map_or((0, 0.0), |((_, part), room)| (*part, loaded(room, rate)));
+            let own = room.entry((zone, proxy.part)).or_default();
+            if proxy.bound && (part == proxy.part || loaded(own, 0.0) < REDEAL * freest) {
+                continue;
+            }
+            let serves = |scheme: &&Scheme| scheme.part == part && scheme.serves(proxy);
+            let tables: Vec<&Scheme> = self.schemes.iter().filter(serves).collect();
             let size = |s: &Scheme| self.tables.get(&s.table).map_or(0, |t| t.lines.len() + t.levels.len());
             let cost = tables.iter().map(|scheme| (1 + size(scheme) + shut) as f64).sum::<f64>();
             if waiting > 0.0 && waiting + cost + head > GUARD_BACKLOG * self.settings.backlog {
                 break;
             }
             waiting += cost + head;
-            proxy.bound = true;
-            room.entry((set(proxy.zone), proxy.part)).or_default().1 += proxy.rate();
-            *orders.lines.entry(id).or_default() += cost;
-            let bind = |s: &Scheme| Action::Bind { proxy: id, table: s.table, classes: s.classes };
+            own.1 -= if proxy.bound { rate } else { 0.0 };
+            room.entry((zone, part)).or_default().1 += rate;
+            (proxy.part, proxy.bound) = (part, true);
+            *orders.lines.entry(*id).or_default() += cost;
+            let bind = |s: &Scheme| Action::Bind { proxy: *id, table: s.table, classes: s.classes };
             orders.actions.extend(tables.into_iter().map(bind));
         }
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -153,7 +153,7 @@
 
 impl Scheme {
     pub fn serves(&self, proxy: &Proxy) -> bool {
-        self.part == proxy.part && self.zone.is_none_or(|zone| zone == proxy.zone)
+        self.zone.is_none_or(|zone| zone == proxy.zone)
     }
 }
 
