--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -103,7 +103,7 @@
 const NARROW_PROXIES: f64 = 2.0;
 const NARROW_LEAST: f64 = 5.0;
 /// A proxy moves to another part once its own bears so many times what the other would with it.
-const REDEAL: f64 = 1.5;
+const REDEAL: f64 = 2.0;
 /// Share of a server's connections that the proxies of its tables may need.
 const CONNECTIONS_SHARE: f64 = 0.5;
 /// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
@@ -805,9 +805,14 @@
     fn changes(&self, scheme: Scheme, target: &Lines, rate: f64, changes: &mut Vec<Change>) {
         let sent = self.tables.get(&scheme.table).map(|table| table.lines.clone()).unwrap_or_default();
         let total = target.values().sum::<f64>().max(f64::MIN_POSITIVE);
+        // Only parts of a table count: one that moves as a whole, with a zone's demand or the fleet's speed, would
+        // fill the channel and change nothing.
+        let both = target.iter().filter_map(|(id, weight)| Some((*weight, *sent.get(id)?)));
+        let (new, old) = both.fold((0.0, 0.0), |sum, both| (sum.0 + both.0, sum.1 + both.1));
+        let scale = if new > 0.0 && old > 0.0 { old / new } else { 1.0 };
         for server in sent.keys().chain(target.keys()).copied().collect::<BTreeSet<ServerId>>() {
             let old = sent.get(&server).copied().unwrap_or(0.0);
-            let weight = target.get(&server).copied().unwrap_or(0.0);
+            let weight = target.get(&server).copied().unwrap_or(0.0) * scale;
             let ended = weight <= 0.0 && old > 0.0;
             let cooled =
                 weight < COOLED * old && self.servers.get(&server).is_some_and(|s| s.state == State::Reduced);
@@ -815,7 +820,7 @@
             let guard = ended || cooled || sent.is_empty();
             if ended || (weight > 0.0 && (weight - old).abs() > RESEND_SHARE * old) {
                 // Largest first: traffic moved for each line that it costs.
-                let size = rate * (weight - old).abs() / total;
+                let size = rate * (weight - old).abs() / (total * scale);
                 changes.push(Change { scheme, server, weight, guard, size });
             }
         }
