--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -47,7 +47,7 @@
 const CEILING_GROWTH: f64 = 2.0;
 /// A weight is sent again after moving by this share (design: a fifth, which a climb may leave unused for good).
 const RESEND_SHARE: f64 = 0.1;
-/// A reduced server's line that falls under this share of the weight last sent does not wait for its turn.
+/// A failing server's line that falls under this share of the weight last sent does not wait for its turn.
 const COOLED: f64 = 0.6;
 /// Idle reports mixed into a server's saturation: it ends once reports stop.
 const PRIOR_BUSY: f64 = 0.5;
@@ -107,7 +107,7 @@
 /// Share of a server's connections that the proxies of its tables may need.
 const CONNECTIONS_SHARE: f64 = 0.5;
 /// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
-const ORDINARY_BACKLOG: f64 = 0.3;
+const ORDINARY_BACKLOG: f64 = 0.5;
 const GUARD_BACKLOG: f64 = 0.9;
 /// Share of the message limit that ordinary updates, and guards, may use; the rest is for drains.
 const ORDINARY_MESSAGES: f64 = 0.6;
@@ -743,12 +743,17 @@
         }
     }
 
-    /// Drains kept: a server that drains or is gone is shut out of all tables at once, whatever they name.
+    /// Drains kept: a server that drains or is gone is shut out of all tables at once, whatever they name. One
+    /// that returns stays out until no table holds its old weight. Danger: it is cold.
     fn shut_the_leaving(&mut self, orders: &mut Orders) {
-        for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.shut == server.open()) {
-            server.shut = !server.open();
-            orders.give(Action::Withdraw { server: *id, out: server.shut }, self.proxies.keys().copied());
-            orders.actions.push(Action::Log(format!("{} {:?}", id.0, server.entry.life)));
+        let named = |id: &ServerId| self.tables.values().any(|table| table.lines.contains_key(id));
+        for (id, server) in &mut self.servers {
+            let leaves = server.entry.life != Lifecycle::InService;
+            if server.shut != leaves && (leaves || !named(id)) {
+                server.shut = leaves;
+                orders.give(Action::Withdraw { server: *id, out: leaves }, self.proxies.keys().copied());
+                orders.actions.push(Action::Log(format!("{} {:?}", id.0, server.entry.life)));
+            }
         }
     }
 
@@ -769,7 +774,7 @@
         changes.sort_by(|a, b| b.guard.cmp(&a.guard).then(b.size.total_cmp(&a.size)));
         let due = self.updated.is_none_or(|at| now - at >= UPDATE_EVERY);
         let mut lines = self.channel.waiting + orders.lines.values().sum::<f64>();
-        for Change { scheme: Scheme { table, .. }, server, weight, guard, .. } in changes {
+        for Change { scheme: Scheme { table, .. }, server, weight, guard, urgent, .. } in changes {
             let Some((users, used)) = tables.get(&table) else { continue };
             if !users.is_empty() {
                 // An ordinary change that rides on a message already due costs no message: else refusals
@@ -779,12 +784,13 @@
                 let head = if rides { 0.0 } else { self.settings.message_head + 1.0 };
                 let cost = users.len() as f64 * (1.0 + head);
                 let fits = |share: f64| lines + cost <= share * self.settings.backlog;
-                let ordinary = ((due && *used <= ORDINARY_MESSAGES) || rides) && fits(ORDINARY_BACKLOG);
+                let turn = ((due || urgent) && *used <= ORDINARY_MESSAGES) || rides;
+                let ordinary = turn && fits(ORDINARY_BACKLOG);
                 if !(ordinary || (guard && *used <= GUARD_MESSAGES && fits(GUARD_BACKLOG))) {
                     continue;
                 }
                 lines += cost;
-                if !guard && !rides {
+                if !urgent && !rides {
                     self.updated = Some(now);
                 }
             }
@@ -800,8 +806,7 @@
         rates.sum::<f64>() / users.len().max(1) as f64
     }
 
-    /// Lines that differ from what was sent. A guard's: a server's that left, or began or ceased to be
-    /// usable.
+    /// Lines that differ from what was sent.
     fn changes(&self, scheme: Scheme, target: &Lines, rate: f64, changes: &mut Vec<Change>) {
         let sent = self.tables.get(&scheme.table).map(|table| table.lines.clone()).unwrap_or_default();
         let total = target.values().sum::<f64>().max(f64::MIN_POSITIVE);
@@ -814,14 +819,18 @@
             let old = sent.get(&server).copied().unwrap_or(0.0);
             let weight = target.get(&server).copied().unwrap_or(0.0) * scale;
             let ended = weight <= 0.0 && old > 0.0;
-            let cooled =
-                weight < COOLED * old && self.servers.get(&server).is_some_and(|s| s.state == State::Reduced);
-            // Nobody without a server: the first line of an empty table does not wait for its turn.
-            let guard = ended || cooled || sent.is_empty();
+            let known = self.servers.get(&server);
+            // Nobody without a server, no cold one pushed over: an empty table's lines, and what a cold server
+            // loses, do not wait for room. All else goes by size, or failing servers would crowd out those that
+            // recovered and the fleet in use would shrink.
+            let cold = known.is_some_and(|server| server.warmth < 1.0) && weight < old;
+            let guard = cold || sent.is_empty();
+            let cooled = weight < COOLED * old && known.is_some_and(|server| server.state != State::Full);
             if ended || (weight > 0.0 && (weight - old).abs() > RESEND_SHARE * old) {
-                // Largest first: traffic moved for each line that it costs.
-                let size = rate * (weight - old).abs() / (total * scale);
-                changes.push(Change { scheme, server, weight, guard, size });
+                // Largest first: traffic moved for each line that it costs. A server shut out moves none.
+                let used = known.is_some_and(Server::open);
+                let size = if used { rate * (weight - old).abs() / (total * scale) } else { 0.0 };
+                changes.push(Change { scheme, server, weight, guard, urgent: guard || cooled, size });
             }
         }
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -109,7 +109,7 @@
         (self.below, self.above, self.out_ticks) = (0, 0, 0);
     }
     pub fn open(&self) -> bool {
-        self.entry.life == Lifecycle::InService
+        self.entry.life == Lifecycle::InService && !self.shut
     }
     /// The listed weight, never quite nothing.
     pub fn size(&self) -> f64 {
@@ -209,6 +209,7 @@
     pub server: ServerId,
     pub weight: f64,
     pub guard: bool,
+    pub urgent: bool,
     pub size: f64,
 }
 
