--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -46,7 +46,7 @@
 /// Growth of a returning server's ceiling with each tick of good reports.
 const CEILING_GROWTH: f64 = 2.0;
 /// A weight is sent again after moving by this share (design: a fifth, which a climb may leave unused for good).
-const RESEND_SHARE: f64 = 0.1;
+const RESEND_SHARE: f64 = 0.2;
 /// A failing server's line that falls under this share of the weight last sent does not wait for its turn.
 const COOLED: f64 = 0.6;
 /// Idle reports mixed into a server's saturation: it ends once reports stop.
@@ -79,6 +79,8 @@
 const COLD_DEMAND: f64 = 4.0;
 /// Tries for each good answer beyond which a cold server is kept out where proxies avoid servers themselves.
 const COLD_OUT: f64 = 1.5;
+/// The same for the fleet's saturation, which probes tell seconds before tallies tell of failing tries.
+const COLD_OUT_STRAIN: f64 = 0.3;
 /// The fleet's mean saturation from which requests are refused, and the share refused when all is saturated.
 const REFUSE_FROM: f64 = 0.2;
 const REFUSE_MOST: f64 = 0.9;
@@ -93,7 +95,7 @@
 /// Share of a zone's requests that leans to its own servers; the rest goes to all by weight.
 const LEAN: f64 = 0.9;
 /// Requests that a usual proxy should bring to each server of its table before an idle connection closes.
-const REUSE: f64 = 4.0;
+const REUSE: f64 = 6.0;
 /// Least servers of a table that names part of the fleet: a fifth of them failing must leave enough.
 const PART_LEAST: f64 = 16.0;
 /// The fleet's median share of failed tries, while probes are answered and nothing is saturated, from which
@@ -551,7 +553,8 @@
         let tries: f64 = seen.clone().map(|evidence| evidence.failed.weight).sum();
         let good: f64 = seen.map(|evidence| evidence.cost.weight).sum();
         let beyond = ((tries + PRIOR_TRIES) / (good + PRIOR_TRIES)).max(1.0);
-        let out = self.settings.proxy_ejects_after > 0 && (beyond > COLD_OUT || tries <= 0.0);
+        let out = self.settings.proxy_ejects_after > 0
+            && (beyond > COLD_OUT || self.admission.strain > COLD_OUT_STRAIN || tries <= 0.0);
         (COLD_DEMAND * beyond, out)
     }
 
