--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -832,7 +832,11 @@
             if ended || (weight > 0.0 && (weight - old).abs() > RESEND_SHARE * old) {
                 // Largest first: traffic moved for each line that it costs. A server shut out moves none.
                 let used = known.is_some_and(Server::open);
-                let size = if used { rate * (weight - old).abs() / (total * scale) } else { 0.0 };
+                // One not named yet counts whole: it can take over nothing before. Danger: a grown fleet idles.
+                let named = old > 0.0 || weight <= 0.0;
+                let whole = known.filter(|_| !named).map_or(0.0, |server| server.size() * scale);
+                let moved = (weight - old).abs().max(whole);
+                let size = if used { rate * moved / (total * scale) } else { 0.0 };
                 changes.push(Change { scheme, server, weight, guard, urgent: guard || cooled, size });
             }
         }
