--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -116,6 +116,8 @@
 const GUARD_MESSAGES: f64 = 0.8;
 /// Time between ordinary updates.
 const UPDATE_EVERY: Micros = Micros(1_000_000);
+/// Share of the channel that the heads of ordinary updates may take.
+const HEADS_SHARE: f64 = 0.2;
 /// A subscription that failed is tried again after this time.
 const SUBSCRIBE_AGAIN: Micros = Micros(1_000_000);
 
@@ -216,6 +218,7 @@
     narrowed: Option<Micros>,
     ticked: Micros,
     updated: Option<Micros>,
+    urged: Micros,
     subscribe_at: Option<Micros>,
     slices: BTreeMap<TableId, Option<Handover>>,
 }
@@ -775,7 +778,12 @@
             tables.insert(scheme.table, (users, used));
         }
         changes.sort_by(|a, b| b.guard.cmp(&a.guard).then(b.size.total_cmp(&a.size)));
-        let due = self.updated.is_none_or(|at| now - at >= UPDATE_EVERY);
+        // Messages have heads: all proxies' may take no more than a part of the channel.
+        let heads = self.proxies.len() as f64 * (self.settings.message_head + 1.0);
+        let heads = Micros((1e6 * HEADS_SHARE.recip() * heads / self.settings.lines_per_s.max(1.0)) as i64);
+        let every = UPDATE_EVERY.max(heads);
+        let due = self.updated.is_none_or(|at| now - at >= every);
+        let urges = now - self.urged >= Micros(every.0 / 2);
         let mut lines = self.channel.waiting + orders.lines.values().sum::<f64>();
         for Change { scheme: Scheme { table, .. }, server, weight, guard, urgent, .. } in changes {
             let Some((users, used)) = tables.get(&table) else { continue };
@@ -787,14 +795,15 @@
                 let head = if rides { 0.0 } else { self.settings.message_head + 1.0 };
                 let cost = users.len() as f64 * (1.0 + head);
                 let fits = |share: f64| lines + cost <= share * self.settings.backlog;
-                let turn = ((due || urgent) && *used <= ORDINARY_MESSAGES) || rides;
+                let turn = ((due || (urges && urgent)) && *used <= ORDINARY_MESSAGES) || rides;
                 let ordinary = turn && fits(ORDINARY_BACKLOG);
                 if !(ordinary || (guard && *used <= GUARD_MESSAGES && fits(GUARD_BACKLOG))) {
                     continue;
                 }
                 lines += cost;
-                if !urgent && !rides {
-                    self.updated = Some(now);
+                if !guard && !rides {
+                    self.urged = now;
+                    self.updated = if urgent { self.updated } else { Some(now) };
                 }
             }
             let known = self.tables.entry(table).or_default();
@@ -833,8 +842,8 @@
                 // Largest first: traffic moved for each line that it costs. A server shut out moves none.
                 let used = known.is_some_and(Server::open);
                 // One not named yet counts whole: it can take over nothing before. Danger: a grown fleet idles.
-                let named = old > 0.0 || weight <= 0.0;
-                let whole = known.filter(|_| !named).map_or(0.0, |server| server.size() * scale);
+                let home = |server: &&Server| scheme.zone.is_none_or(|zone| zone == server.entry.zone);
+                let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size) * scale;
                 let moved = (weight - old).abs().max(whole);
                 let size = if used { rate * moved / (total * scale) } else { 0.0 };
                 changes.push(Change { scheme, server, weight, guard, urgent: guard || cooled, size });
