--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -116,6 +116,8 @@
 const GUARD_MESSAGES: f64 = 0.8;
 /// Time between ordinary updates.
 const UPDATE_EVERY: Micros = Micros(1_000_000);
+/// Beyond the longest way there and back, no confirmation for so long means an empty channel.
+const CHANNEL_SILENT: Micros = Micros(3_000_000);
 /// Share of the channel that the heads of ordinary updates may take.
 const HEADS_SHARE: f64 = 0.2;
 /// A subscription that failed is tried again after this time.
@@ -317,7 +319,7 @@
             }
             Event::SliceUsage { class, came, .. } => self.came(*class, *came),
             Event::Receipt { proxy, mark, .. } => {
-                self.channel.confirmed(*proxy, *mark);
+                self.channel.confirmed(now, *proxy, *mark);
                 for handover in self.slices.values_mut().flatten().filter(|h| h.mark == *mark) {
                     handover.waits_for.remove(proxy);
                 }
@@ -656,7 +658,7 @@
     fn users(&self, scheme: Scheme) -> Vec<ProxyId> {
         self.proxies
             .iter()
-            .filter(|(_, p)| p.bound && p.part == scheme.part && scheme.serves(p))
+            .filter(|(_, p)| p.bound && scheme.serves(p.zone, p.part))
             .map(|(id, _)| *id)
             .collect()
     }
@@ -716,7 +718,6 @@
             let first = self.schemes.last().map_or(0, |scheme| (scheme.table.0 + 1) % (u16::MAX / 2));
             self.schemes = schemes(&self.settings, parts, first);
             self.parts = parts;
-            self.tables.clear();
             self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
         }
     }
@@ -726,12 +727,10 @@
     }
 
     /// Short queue: every message carries a mark, and what was not confirmed counts as waiting. Danger: on some
-    /// days the channel runs far slower than its stated pace. Marks that nobody is left to confirm are
-    /// forgotten after several times what any message should take.
+    /// days the channel runs far slower than its stated pace. While anything leaves, some proxy confirms; after
+    /// a silence beyond any way and stall nothing waits, but for what the own count had too much.
     fn drain_channel(&mut self, now: Micros) {
-        let usual = self.channel.waiting / self.settings.lines_per_s.max(1.0);
-        let usual = usual + 2.0 * self.settings.way_most.secs() + 2.0;
-        self.channel.forget(now - Micros((4e6 * usual) as i64));
+        self.channel.forget(now - self.settings.way_most - self.settings.way_most - CHANNEL_SILENT);
         let window = self.settings.messages_window;
         for proxy in self.proxies.values_mut() {
             proxy.written.retain(|at| now - *at <= window);
@@ -750,16 +749,24 @@
     }
 
     /// Drains kept: a server that drains or is gone is shut out of all tables at once, whatever they name. One
-    /// that returns stays out until no table holds its old weight. Danger: it is cold.
+    /// that returns stays out until no proxy can hold its old weight, in a table of now or one it was bound to
+    /// before. Danger: it is cold.
     fn shut_the_leaving(&mut self, orders: &mut Orders) {
-        let named = |id: &ServerId| self.tables.values().any(|table| table.lines.contains_key(id));
+        if self.parts > 0 && self.proxies.values().all(|proxy| proxy.bound) {
+            self.tables.retain(|table, _| self.schemes.iter().any(|scheme| scheme.table == *table));
+        }
         for (id, server) in &mut self.servers {
             let leaves = server.entry.life != Lifecycle::InService;
-            if server.shut != leaves && (leaves || !named(id)) {
-                server.shut = leaves;
-                orders.give(Action::Withdraw { server: *id, out: leaves }, self.proxies.keys().copied());
-                orders.actions.push(Action::Log(format!("{} {:?}", id.0, server.entry.life)));
+            let names = |table: &&TableId| self.tables.get(table).is_some_and(|t| t.lines.contains_key(id));
+            if server.shut == leaves || (!leaves && self.tables.keys().any(|table| names(&table))) {
+                continue;
             }
+            server.shut = leaves;
+            let named: BTreeSet<TableId> = self.tables.keys().filter(names).copied().collect();
+            let holds = |p: &Proxy| p.tables.is_empty() || p.tables.iter().any(|table| named.contains(table));
+            let holders = self.proxies.iter().filter(|(_, proxy)| holds(proxy)).map(|(id, _)| *id);
+            orders.give(Action::Withdraw { server: *id, out: leaves }, holders);
+            orders.actions.push(Action::Log(format!("{} {:?}", id.0, server.entry.life)));
         }
     }
 
@@ -886,7 +893,9 @@
         for proxy in self.proxies.values().filter(|proxy| proxy.bound) {
             room.entry((set(proxy.zone), proxy.part)).or_default().1 += proxy.rate();
         }
-        let shut = self.servers.values().filter(|server| server.shut).count();
+        let shut = |id: &&ServerId| self.servers.get(id).is_some_and(|server| server.shut);
+        let size = |t: &Table| t.lines.len() + t.levels.len() + t.lines.keys().filter(shut).count();
+        let sizes: BTreeMap<TableId, usize> = self.tables.iter().map(|(id, t)| (*id, size(t))).collect();
         let head = self.settings.message_head + 1.0;
         let mut waiting = self.channel.waiting + orders.lines.values().map(|n| n + head).sum::<f64>();
         let mut proxies: Vec<(&ProxyId, &mut Proxy)> = self.proxies.iter_mut().collect();
@@ -901,10 +910,9 @@
             if proxy.bound && (part == proxy.part || loaded(own, 0.0) < REDEAL * freest) {
                 continue;
             }
-            let serves = |scheme: &&Scheme| scheme.part == part && scheme.serves(proxy);
-            let tables: Vec<&Scheme> = self.schemes.iter().filter(serves).collect();
-            let size = |s: &Scheme| self.tables.get(&s.table).map_or(0, |t| t.lines.len() + t.levels.len());
-            let cost = tables.iter().map(|scheme| (1 + size(scheme) + shut) as f64).sum::<f64>();
+            let tables = self.schemes.iter().filter(|scheme| scheme.serves(proxy.zone, part));
+            let size = |s: &Scheme| sizes.get(&s.table).copied().unwrap_or(0);
+            let cost = tables.clone().map(|scheme| (1 + size(scheme)) as f64).sum::<f64>();
             if waiting > 0.0 && waiting + cost + head > GUARD_BACKLOG * self.settings.backlog {
                 break;
             }
@@ -912,9 +920,10 @@
             own.1 -= if proxy.bound { rate } else { 0.0 };
             room.entry((zone, part)).or_default().1 += rate;
             (proxy.part, proxy.bound) = (part, true);
+            proxy.tables = tables.clone().map(|scheme| scheme.table).collect();
             *orders.lines.entry(*id).or_default() += cost;
             let bind = |s: &Scheme| Action::Bind { proxy: *id, table: s.table, classes: s.classes };
-            orders.actions.extend(tables.into_iter().map(bind));
+            orders.actions.extend(tables.map(bind));
         }
     }
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -124,6 +124,7 @@
     pub came: Fading,
     pub bound: bool,
     pub part: usize,
+    pub tables: Vec<TableId>,
     pub written: VecDeque<Micros>,
 }
 
@@ -152,8 +153,8 @@
 }
 
 impl Scheme {
-    pub fn serves(&self, proxy: &Proxy) -> bool {
-        self.zone.is_none_or(|zone| zone == proxy.zone)
+    pub fn serves(&self, zone: ZoneId, part: usize) -> bool {
+        self.part == part && self.zone.is_none_or(|own| own == zone)
     }
 }
 
@@ -164,6 +165,7 @@
     pub turns: VecDeque<(Micros, u16, BTreeMap<ProxyId, f64>)>,
     pub waiting: f64,
     pub mark: u16,
+    pub confirmed: Micros,
 }
 
 impl Channel {
@@ -173,7 +175,8 @@
         self.count();
     }
     /// Messages leave in order: one that arrived tells that all of earlier turns have left.
-    pub fn confirmed(&mut self, proxy: ProxyId, mark: u16) {
+    pub fn confirmed(&mut self, now: Micros, proxy: ProxyId, mark: u16) {
+        self.confirmed = now;
         if let Some(turn) = self.turns.iter().position(|(_, sent, _)| *sent == mark) {
             self.turns.drain(..turn);
             self.lost_of_first(proxy);
@@ -188,7 +191,7 @@
         self.count();
     }
     pub fn forget(&mut self, before: Micros) {
-        self.turns.retain(|(at, _, _)| *at >= before);
+        self.turns.retain(|(at, _, _)| (*at).max(self.confirmed) >= before);
         self.count();
     }
     fn lost_of_first(&mut self, proxy: ProxyId) {
