--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -111,11 +111,8 @@
 impl Server {
     fn new(entry: Entry, warm: bool) -> Self {
         let mut server = Server { entry, return_after: RESTORE_TICKS, ..Server::default() };
-        if warm {
-            server.enter(State::Full, 1.0, 1.0);
-        } else {
-            server.enter(State::Reduced, NEW_SCORE, NEW_SCORE);
-        }
+        let (state, score) = if warm { (State::Full, 1.0) } else { (State::Reduced, NEW_SCORE) };
+        server.enter(state, score, score);
         server
     }
 
@@ -172,13 +169,9 @@
 
     /// Share of its capacity that a server is sure to have, by the time since its start.
     fn warmth(&self, now: Micros, settings: &Settings) -> f64 {
-        match self.entry.started {
-            Some(started) if now - started < settings.cold_for => {
-                let age = (now - started).secs().max(0.0) / settings.cold_for.secs();
-                (settings.cold_from + (1.0 - settings.cold_from) * age).clamp(0.01, 1.0)
-            }
-            _ => 1.0,
-        }
+        let age = self.entry.started.map_or(f64::MAX, |started| (now - started).secs().max(0.0));
+        let warmed = clamp01(age / settings.cold_for.secs().max(1e-6));
+        (settings.cold_from + (1.0 - settings.cold_from) * warmed).clamp(0.01, 1.0)
     }
 }
 
@@ -238,12 +231,10 @@
         }
         // The work of a batch follows what happened: answers to probes and tallies wait for the tick. Danger:
         // a large fleet probed each second would otherwise use up the instance's share of processor time.
-        let presses = |event: &Event| match event {
-            Event::Members(..) | Event::Joined { .. } | Event::Tenure { .. } => true,
-            Event::Receipt { .. } | Event::Left(_) => self.settings.sole_owner,
-            _ => false,
-        };
-        if ticks || events.iter().any(presses) {
+        let news = |e: &Event| matches!(e, Event::Members(..) | Event::Joined { .. } | Event::Tenure { .. });
+        let freed =
+            |e: &Event| self.settings.sole_owner && matches!(e, Event::Receipt { .. } | Event::Left(_));
+        if ticks || events.iter().any(|event| news(event) || freed(event)) {
             self.probe(now, &mut out);
             self.publish(now, &mut out);
         }
@@ -371,10 +362,10 @@
         // may hurt while a server fails under overload; refusals then make the room.
         let spare = 1.0 - fleet_saturated;
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
-            let error = 1.0 - spare * clamp01(error_share(server, &zones, probes_count) / ERROR_BUDGET);
+            let (failing, answers) = met(server, &zones, probes_count);
+            let error = 1.0 - spare * clamp01(failing / ERROR_BUDGET);
             // A probe's time now against its usual, by what befell the fleet, shows a slowed machine whatever
-            // its model. Answer times hold waiting too, but show also what a probe does not meet.
-            let answers = latency_ratio(server, &zones);
+            // its model; answer times show also what a probe does not meet.
             let ratio =
                 slowed(server).map_or(answers, |now| (now / slowed_fleet).max(answers * ANSWERS_COUNT));
             let latency = 1.0 - spare * clamp01(ratio / LATENCY_BUDGET);
@@ -430,11 +421,13 @@
     /// The further way of a probe to a server outside the own zone, in seconds: how much longer the quickest take.
     fn way(&self) -> f64 {
         let home = |s: &Server| s.entry.zone == self.settings.zone;
-        let quickest = |at_home: bool| {
-            let timed = self.open().map(|(_, s)| s).filter(move |s| s.quickest > 0.0 && home(s) == at_home);
-            quantile(timed.map(|s| s.quickest), 0.5)
-        };
-        quickest(false).zip(quickest(true)).map_or(0.0, |(far, near)| (far - near).max(0.0))
+        let timed = self.open().map(|(_, s)| s).filter(|s| s.quickest > 0.0);
+        let kinds: BTreeSet<u32> = timed.clone().map(|s| s.entry.kind).collect();
+        let times = |kind| timed.clone().filter(move |s| home(s) && s.entry.kind == kind).map(|s| s.quickest);
+        let near: BTreeMap<_, _> = kinds.into_iter().map(|kind| (kind, quantile(times(kind), 0.5))).collect();
+        let further = timed.clone().filter(|s| !home(s));
+        let further = further.filter_map(|far| Some(far.quickest - (*near.get(&far.entry.kind)?)?));
+        quantile(further, 0.5).unwrap_or(0.0).max(0.0)
     }
 
     /// How fast each server is for its listed weight, against the fleet's, or, where listed weights are
@@ -523,10 +516,9 @@
         can.iter().map(|(other, can)| (*other, part(other, *can))).collect()
     }
 
-    /// The demand, as a multiple of what the fleet can do, that a cold server's part must bear: tries for each
-    /// good answer tell how far demand is beyond what is served. And whether cold ones stay out: proxies that
-    /// avoid failing servers by themselves send all they have to a cold one, whatever its weight, once the
-    /// others fail; it waits until most tries succeed, or until it is warm.
+    /// The demand, as a multiple of what the fleet can do, that a cold server's part must bear, by tries for each
+    /// good answer. And whether cold ones stay out: proxies that avoid failing servers by themselves send all
+    /// they have to a cold one, whatever its weight, once the others fail.
     fn cold_demand(&self) -> (f64, bool) {
         let seen = self.open().flat_map(|(_, server)| server.heard.values());
         let tries: f64 = seen.clone().map(|evidence| evidence.failed.weight).sum();
@@ -586,7 +578,6 @@
         admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE));
         admission.strain = -smooth(-admission.strain, -term);
         let refused = REFUSE.1 * clamp01((admission.strain - REFUSE.0) / (1.0 - REFUSE.0));
-        // Told in steps of a tenth: what is logged is what changes.
         let step = |refused: f64| (10.0 * refused).round();
         if step(refused) != step(admission.refused) && self.settings.levels != LevelKind::Silent {
             out.push(Action::Log(format!("refuses {:.1}, fleet saturated {:.2}", refused, admission.strain)));
@@ -620,14 +611,6 @@
 
     // ---- Rule guards and pacing ----
 
-    fn users(&self, scheme: Scheme) -> Vec<ProxyId> {
-        self.proxies
-            .iter()
-            .filter(|(_, p)| p.bound && scheme.serves(p.zone, p.part))
-            .map(|(id, _)| *id)
-            .collect()
-    }
-
     fn publish(&mut self, now: Micros, out: &mut Vec<Action>) {
         // Short queue: every message carries a mark, and what was not confirmed counts as waiting. Danger: on
         // some days the channel runs far slower than stated. While anything leaves, some proxy confirms; after a
@@ -735,7 +718,9 @@
         let lean: BTreeMap<ZoneId, Zones> = (0..self.settings.zones as u16).map(ZoneId).map(lean).collect();
         for scheme in self.schemes.clone() {
             let parts = scheme.zone.and_then(|zone| lean.get(&zone)).unwrap_or(&Zones::new()).clone();
-            let users = self.users(scheme);
+            let serves = |p: &Proxy| p.bound && scheme.serves(p.zone, p.part);
+            let users: Vec<ProxyId> =
+                self.proxies.iter().filter(|(_, p)| serves(p)).map(|(id, _)| *id).collect();
             let used = self.messages_used(users.iter());
             let target = self.target(scheme, &parts, cold);
             let rates = users.iter().filter_map(|id| Some(self.proxies.get(id)?.rate()));
@@ -783,8 +768,7 @@
         let resend = RESEND_SHARE.0 + (RESEND_SHARE.1 - RESEND_SHARE.0) * clamp01(filled);
         let sent = self.tables.get(&scheme.table).map(|table| table.lines.clone()).unwrap_or_default();
         let total = target.values().sum::<f64>().max(f64::MIN_POSITIVE);
-        // Only parts of a table count: one that moves as a whole, with a zone's demand or the fleet's speed, would
-        // fill the channel and change nothing.
+        // Only parts of a table count: one that moves as a whole would fill the channel and change nothing.
         let both = target.iter().filter_map(|(id, weight)| Some((*weight, *sent.get(id)?)));
         let (new, old) = both.fold((0.0, 0.0), |sum, both| (sum.0 + both.0, sum.1 + both.1));
         let scale = if new > 0.0 && old > 0.0 { old / new } else { 1.0 };
@@ -793,16 +777,15 @@
             let weight = target.get(&server).copied().unwrap_or(0.0) * scale;
             let ended = weight <= 0.0 && old > 0.0;
             let known = self.servers.get(&server);
-            // Nobody without a server, no cold one pushed over: an empty table's lines, and what a cold server
-            // loses, do not wait for room. All else goes by size, or failing servers would crowd out those that
-            // recovered and the fleet in use would shrink.
+            // The rules' lines do not wait for room: an empty table's, and what a cold server loses. All else
+            // goes by size, or failing servers crowd out those that recovered and the fleet in use shrinks.
             let cold = known.is_some_and(|server| server.warmth < 1.0) && weight < old;
             let guard = cold || sent.is_empty();
             let cooled = weight < COOLED * old && known.is_some_and(|server| server.state != State::Full);
             if ended || (weight > 0.0 && (weight - old).abs() > resend * old) {
-                // Largest first: traffic moved for each line that it costs. A server shut out moves none.
+                // Largest first: traffic moved for each line that it costs. A server shut out moves none, one
+                // not named yet counts whole, since it can take over nothing before: else a grown fleet idles.
                 let used = known.is_some_and(Server::open);
-                // One not named yet counts whole: it can take over nothing before. Danger: a grown fleet idles.
                 let home = |server: &&Server| scheme.zone.is_none_or(|zone| zone == server.entry.zone);
                 let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size) * scale;
                 let moved = (weight - old).abs().max(whole);
@@ -872,9 +855,8 @@
         }
     }
 
-    /// Tables of slices in this instance's charge: a line stays while its server is usable, since servers
-    /// keep what they know of a slice's keys; one that is not gives way to the server the slice's number
-    /// picks.
+    /// Tables of slices in this instance's charge: a line stays while its server is usable, since servers keep
+    /// what they know of a slice's keys; else it gives way to the server the slice's number picks.
     fn slice_lines(&mut self, now: Micros, orders: &mut Orders) {
         let usable = self.target(Scheme::default(), &Zones::new(), self.cold_demand());
         let mark = self.next_mark();
@@ -888,8 +870,8 @@
                 continue;
             }
             if self.settings.sole_owner {
-                // No effect twice: first nobody owns the slice, until every proxy said so or lost its lease
-                // and no write is in hand any more.
+                // No effect twice: nobody owns the slice until every proxy said so or lost its lease, and no
+                // write is in hand.
                 let not_before = now + self.settings.lease;
                 let handover = slice.get_or_insert_with(|| {
                     orders.give(Action::Clear(*id), proxies.iter().copied());
@@ -960,33 +942,26 @@
     Some(server.speed.probes.mean()? / server.probes_now.mean()?)
 }
 
-/// Share of failed tries at a server beyond its zones' fleet, failed probes counted as tries, less its
-/// standard error: of few tries, one or two that fail by chance say little. Failures of a server that
-/// reports itself saturated count less: they come from load. Danger: under high load a withdrawal saturates
-/// the next server, and the fleet swings. A saturated server that also fails keeps a small weight.
-fn error_share(server: &Server, zones: &References, probes_count: bool) -> f64 {
+/// By what proxies met at a server: the share of failed tries beyond its zones' fleet, failed probes counted as
+/// tries, less its standard error, since a few that fail by chance say little; and the mean time of good answers
+/// against its zones' median. Failures of a server that reports itself saturated count less. Danger: under high
+/// load a withdrawal saturates the next server, and the fleet swings.
+fn met(server: &Server, zones: &References, probes_count: bool) -> (f64, f64) {
     let probed = if probes_count { server.probing.failed } else { 0.0 };
-    let (mut tries, mut failed) = (PRIOR_TRIES + probed, probed);
+    let (mut tries, mut failed, mut good, mut took) =
+        (PRIOR_TRIES + probed, probed, PRIOR_TRIES, PRIOR_TRIES);
     for (zone, evidence) in &server.heard {
-        let usual = zones.get(zone).map_or(0.0, |reference| reference.0);
+        let (usual, median) = zones.get(zone).copied().unwrap_or_default();
         tries += evidence.failed.weight;
         failed += (evidence.failed.sum - usual * evidence.failed.weight).max(0.0);
-    }
-    let share = failed / tries;
-    (share - (share * (1.0 - share) / tries).sqrt()).max(0.0) * (1.0 - server.saturated()).powi(2)
-}
-
-/// Mean time of good answers against the median of its zones' fleet.
-fn latency_ratio(server: &Server, zones: &References) -> f64 {
-    let (mut good, mut ratio) = (PRIOR_TRIES, PRIOR_TRIES);
-    for (zone, evidence) in &server.heard {
-        let usual = zones.get(zone).map_or(0.0, |reference| reference.1);
-        if usual > 0.0 {
+        if median > 0.0 {
             good += evidence.cost.weight;
-            ratio += evidence.cost.sum / usual;
+            took += evidence.cost.sum / median;
         }
     }
-    ratio / good
+    let share = failed / tries;
+    let share = (share - (share * (1.0 - share) / tries).sqrt()).max(0.0);
+    (share * (1.0 - server.saturated()).powi(2), took / good)
 }
 
 /// Faster down than up: a failing server costs more each tick than one wrongly eased.
