--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,5 +1,5 @@
-//! Every decision of chutegrade. Its types - settings, events in, actions out - are in `interface.rs`; what
-//! it remembers is laid out, as plain data, in `state.rs`.
+//! Every decision of chutegrade. Its types are in `interface.rs`, what it remembers, plain data, in
+//! `state.rs`.
 //!
 //! In order: registry view, evidence, score and state, weights, admission and retries, rule guards, pacing.
 //! A server's weight follows its headroom score: the minimum of clamped one-minus-ratio terms, smoothed,
@@ -40,17 +40,15 @@
 const NEW_SCORE: f64 = 0.5;
 /// Growth of a returning server's ceiling with each tick of good reports.
 const CEILING_GROWTH: f64 = 2.0;
-/// A weight is sent again after moving by this share: with an empty channel, and a full one (design: a fifth).
-const RESEND_SHARE: (f64, f64) = (0.1, 0.2);
-/// A failing server's line that falls under this share of the weight last sent does not wait for its turn.
-const COOLED: f64 = 0.6;
+/// A weight is sent again after moving by over this share of the weight last sent (design).
+const RESEND_SHARE: f64 = 0.2;
 /// Idle reports mixed into a server's saturation: it ends once reports stop.
 const PRIOR_BUSY: f64 = 0.5;
 /// Half-life of tries and probes as evidence, in seconds: a few report periods, since one holds few tries.
 const EVIDENCE_HALF_LIFE: f64 = 1.5;
 /// Tries of the fleet's own quality mixed into each server's: thin evidence then says little.
 const PRIOR_TRIES: f64 = 4.0;
-/// Half-life of what is learned of speeds and traffic, in seconds: reports are noisy and rest on few requests.
+/// Half-life of what is learned of speeds and traffic, in seconds: reports are noisy.
 const SPEED_HALF_LIFE: f64 = 12.0;
 /// Bounds of the correction of a listed weight by measured speed: beyond, the report is doubted.
 const SPEED_BOUNDS: (f64, f64) = (0.3, 2.5);
@@ -70,8 +68,8 @@
 const PANIC_SHARE: f64 = 0.5;
 /// A cold server's part is set for this multiple of what the listed fleet can do: tallies are seconds late.
 const COLD_DEMAND: f64 = 4.0;
-/// Tries for each good answer, and saturation of the fleet, which probes tell seconds before, beyond which cold
-/// servers are kept out where proxies avoid servers by themselves.
+/// Tries for each good answer, and saturation of the fleet, which probes tell seconds before, beyond which
+/// cold servers are kept out where proxies avoid servers by themselves.
 const COLD_OUT: (f64, f64) = (1.5, 0.3);
 /// Demand that cold servers alone must bear, as a multiple of the size of all servers known.
 const COLD_ALONE: f64 = 2.0;
@@ -132,8 +130,8 @@
         if let Some(busy) = load.queue.map(|queue| full(queue, BUSY_QUEUE)).or(by_use) {
             self.busy.add(busy, 1.0);
         }
-        // Servers refresh their reports only now and then: one that repeats the last is no news of their speed.
-        // Shared cores stretch the service time of a busy server: what it shows while none waits tells more.
+        // Reports are refreshed only now and then: one that repeats the last is no news of a speed. Shared
+        // cores stretch the service time: what a server shows while none waits tells more.
         let news = std::mem::replace(&mut self.last_load, *load) != *load;
         if let Some(ms) = load.latency_ms.filter(|ms| news && *ms > 0.0) {
             let weight = 1.0 / (1.0 + load.queue.unwrap_or(0.0));
@@ -358,8 +356,8 @@
         }
         let slowed_fleet = self.fleet_median(slowed).unwrap_or(1.0);
         let fleet_saturated = self.fleet_median(|server| Some(server.saturated())).unwrap_or(0.0);
-        // Terms count by what the others can take: work moved off one server of a full fleet jams the next. It
-        // may hurt while a server fails under overload; refusals then make the room.
+        // Terms count by what the others can take: work moved off one server of a full fleet jams the next.
+        // It may hurt while a server fails under overload; refusals then make the room.
         let spare = 1.0 - fleet_saturated;
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
             let (failing, answers) = met(server, &zones, probes_count);
@@ -388,14 +386,12 @@
             let seen = self.open().filter_map(|(_, s)| s.heard.get(zone).map(of)).filter(|f| f.weight >= 1.0);
             quantile(seen.map(|f| f.sum / f.weight), 0.5).unwrap_or(0.0)
         };
-        zones
-            .into_iter()
-            .map(|zone| (zone, (median(&zone, |e| e.failed), median(&zone, |e| e.cost))))
-            .collect()
+        let medians = |zone| (zone, (median(&zone, |e| e.failed), median(&zone, |e| e.cost)));
+        zones.into_iter().map(medians).collect()
     }
 
-    /// Share of servers that answer no probe, in the median zone: what is mute in one zone alone may be the way
-    /// there, for which neither servers nor load are to blame.
+    /// Share of servers that answer no probe, in the median zone: what is mute in one zone alone may be the
+    /// way there, for which neither servers nor load are to blame.
     fn mute(&self) -> f64 {
         let mut zones: BTreeMap<ZoneId, (f64, f64)> = BTreeMap::new();
         for (_, server) in self.open() {
@@ -418,7 +414,7 @@
 
     // ---- Weights ----
 
-    /// The further way of a probe to a server outside the own zone, in seconds: how much longer the quickest take.
+    /// The further way of a probe to another zone, in seconds: how much longer the quickest take.
     fn way(&self) -> f64 {
         let home = |s: &Server| s.entry.zone == self.settings.zone;
         let timed = self.open().map(|(_, s)| s).filter(|s| s.quickest > 0.0);
@@ -434,17 +430,17 @@
     /// registered capacities, which hold the kind's speed, against its kind's; 1 where nothing tells. Danger:
     /// either gauge alone can be wrong for good: probes are precise but slight, service times few and mixed.
     fn speeds(&self) -> Lines {
-        let gauges: [fn(&Speed) -> Option<(f64, f64)>; 2] = [
-            |speed| speed.probes.mean().map(|speed| (speed, PROBE_WORTH)),
-            |speed| speed.service.mean().map(|ms| (1.0 / ms, speed.service.weight)),
-        ];
+        let gauge = |Speed { probes, service }: &Speed, by_probes: bool| match by_probes {
+            true => probes.mean().map(|speed| (speed, PROBE_WORTH)),
+            false => service.mean().map(|ms| (1.0 / ms, service.weight)),
+        };
         let nominal = self.settings.listed == Listed::Nominal;
         let group = |server: &Server| if nominal { server.entry.kind } else { 0 };
         let groups: BTreeSet<u32> = self.open().map(|(_, server)| group(server)).collect();
         let mut told: BTreeMap<ServerId, (f64, f64)> = BTreeMap::new();
-        for (of, gauge) in groups.into_iter().flat_map(|of| gauges.map(|gauge| (of, gauge))) {
+        for (of, by_probes) in groups.into_iter().flat_map(|of| [(of, true), (of, false)]) {
             let read = self.open().filter(|(_, s)| group(s) == of);
-            let read = read.filter_map(|(id, server)| Some((*id, gauge(&server.speed)?)));
+            let read = read.filter_map(|(id, server)| Some((*id, gauge(&server.speed, by_probes)?)));
             let median = quantile(read.clone().map(|(_, (speed, _))| speed), 0.5).unwrap_or(1.0);
             for (id, (speed, worth)) in read {
                 let told = told.entry(id).or_default();
@@ -494,31 +490,27 @@
         lines
     }
 
-    /// By zone of the servers: the factor on their weights in a zone's table. What the zone's own can do stays at
-    /// home, the rest goes where others have more than their own zone brings, and, where tables name the whole
-    /// fleet, a little goes everywhere, so that all are heard of.
+    /// By zone of the servers: the factor on their weights in a zone's table. What the zone's own can do
+    /// stays at home, the rest goes where others have more than their own zone brings, and, where tables name
+    /// the whole fleet, a little goes everywhere, so that all are heard of.
     fn lean(&self, zone: ZoneId) -> Zones {
         let can = shares(self.open().map(|(_, server)| (server.entry.zone, server.weight)));
         let comes = shares(self.proxies.values().map(|proxy| (proxy.zone, proxy.rate())));
-        if can.is_empty() || comes.is_empty() {
-            return Zones::new();
-        }
         let comes = |zone: &ZoneId| comes.get(zone).copied().unwrap_or(0.0);
         let stays = can.get(&zone).map_or(0.0, |can| can / comes(&zone).max(1e-6)).min(1.0);
         let spare = |zone: &ZoneId| can.get(zone).map_or(0.0, |can| (can - comes(zone)).max(0.0));
         let all_spare = can.keys().map(spare).sum::<f64>();
+        let lean = if self.parts > 1 { 1.0 } else { LEAN };
         let part = |other: &ZoneId, can: f64| {
-            let away = if all_spare > 0.0 { (1.0 - stays) * spare(other) / all_spare } else { 0.0 };
-            let leaning = if *other == zone { stays } else { away };
-            let lean = if self.parts > 1 { 1.0 } else { LEAN };
-            lean * leaning / can.max(1e-6) + 1.0 - lean
+            let away = (1.0 - stays) * spare(other) / all_spare.max(1e-6);
+            lean * (if *other == zone { stays } else { away }) / can.max(1e-6) + 1.0 - lean
         };
         can.iter().map(|(other, can)| (*other, part(other, *can))).collect()
     }
 
-    /// The demand, as a multiple of what the fleet can do, that a cold server's part must bear, by tries for each
-    /// good answer. And whether cold ones stay out: proxies that avoid failing servers by themselves send all
-    /// they have to a cold one, whatever its weight, once the others fail.
+    /// The demand, as a multiple of what the fleet can do, that a cold server's part must bear, by tries for
+    /// each good answer. And whether cold ones stay out: proxies that avoid failing servers by themselves
+    /// send all they have to a cold one, whatever its weight, once the others fail.
     fn cold_demand(&self) -> (f64, bool) {
         let seen = self.open().flat_map(|(_, server)| server.heard.values());
         let tries: f64 = seen.clone().map(|evidence| evidence.failed.weight).sum();
@@ -543,8 +535,8 @@
             }
         }
         let warm = sum(lines);
-        // Cold servers alone, against the work of all servers ever known here: nobody is sent to them until
-        // they can surely bear it. It may refuse more than needed when a deployment was just started whole.
+        // Cold servers alone: nobody is sent to them until they can surely bear the work of all ever known.
+        // It may refuse more than needed when a deployment was just started whole.
         let bear: f64 = lines.keys().map(|id| of(id).0 * of(id).1).sum();
         if warm <= 0.0 && bear * self.settings.fall_multiple < COLD_ALONE * known {
             lines.values_mut().for_each(|weight| *weight = 0.0);
@@ -559,16 +551,16 @@
     // ---- Admission and retries ----
 
     /// The fleet's headroom decides what share is let in: by what servers report of their saturation; where
-    /// nothing is reported, by tries that fail or are late. Danger: clients come again, abandoned work goes on,
-    /// and a fleet once full stays full. No level outlasts its cause: the share follows the saturation itself.
+    /// nothing is reported, by tries that fail or are late. Danger: clients come again, abandoned work goes
+    /// on, and a fleet once full stays full. No level outlasts its cause.
     fn admit(&mut self, elapsed: f64, zones: &References, mute: f64, out: &mut Vec<Action>) {
         let told = self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight);
         let (busy, told) = told.fold((0.0, 0.0f64), |(sum, n), busy| (sum + busy, n + 1.0));
         let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
         let aim = (aims / self.settings.classes.len().max(1) as f64).max(1.0);
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
-        // A queue is told only once all slots are in work, when every answer is late already: the time of probes
-        // shows how many share a core, and those that time out what waits beyond full cores.
+        // A queue is told only once all slots are in work, when every answer is late already: the time of
+        // probes shows how many share a core, and those that time out what waits beyond full cores.
         let shared = self.fleet_median(|server| server.speed.service.mean().and(slowed(server)));
         let shared = full(shared.unwrap_or(1.0), BUSY_STRETCH);
         let failing = zones.values().map(failing).fold(0.0, f64::max);
@@ -613,8 +605,8 @@
 
     fn publish(&mut self, now: Micros, out: &mut Vec<Action>) {
         // Short queue: every message carries a mark, and what was not confirmed counts as waiting. Danger: on
-        // some days the channel runs far slower than stated. While anything leaves, some proxy confirms; after a
-        // silence beyond any way and stall nothing waits, but for what the own count had too much.
+        // some days the channel runs far slower than stated. While anything leaves, some proxy confirms;
+        // after a silence beyond any way and stall nothing waits, but for what the own count had too much.
         self.channel.forget(now - self.settings.way_most - self.settings.way_most - CHANNEL_SILENT);
         let past = now - self.settings.messages_window;
         self.proxies.values_mut().for_each(|proxy| proxy.written.retain(|at| *at >= past));
@@ -643,17 +635,18 @@
         out.append(&mut orders.actions);
     }
 
-    /// Deals the fleet into parts, each with tables of its own, where naming all of it would leave a usual proxy
-    /// without open connections to most, or servers without room for everyone's. Danger: at size each request
-    /// pays for a connection, and one change of a weight is a line at every proxy. While connections fail
-    /// everywhere though servers idle, parts are far narrower: servers accept too few, or each costs too much.
+    /// Deals the fleet into parts, each with tables of its own, where naming all of it would leave a usual
+    /// proxy without open connections to most, or servers without room for everyone's. Danger: at size each
+    /// request pays for a connection, and one change of a weight is a line at every proxy. While connections
+    /// fail everywhere though servers idle, parts are far narrower: servers accept too few.
     fn split(&mut self, now: Micros) {
         let (joined, servers) = (self.proxies.len() as f64, self.open().count() as f64);
         let usual = self.settings.proxies as f64 / (2 * self.settings.instances.max(1)) as f64;
         if joined < 1.0 || (self.parts == 0 && joined < usual && self.ticked != now) {
             return;
         }
-        let sets = if leans(&self.settings) { self.settings.zones.max(1) as f64 } else { 1.0 };
+        let by_zone = leans(&self.settings) || self.settings.classes.iter().any(|class| class.home_only);
+        let sets = if by_zone { self.settings.zones.max(1) as f64 } else { 1.0 };
         let (proxies, servers) = (self.settings.proxies as f64 / sets, servers / sets);
         if self.usual_parts == 0 {
             let rate = self.proxies.values().map(Proxy::rate).sum::<f64>() / joined;
@@ -680,18 +673,13 @@
 
     /// Share of the message limit in use at the fullest of these proxies, this turn's message counted.
     fn messages_used<'a>(&self, proxies: impl Iterator<Item = &'a ProxyId>) -> f64 {
-        let had = proxies.filter_map(|id| self.proxies.get(id)).map(|proxy| proxy.written.len()).max();
-        let most = self.settings.messages_most;
-        if most > 0 {
-            (had.unwrap_or(0) as f64 + 1.0) / most as f64
-        } else {
-            0.0
-        }
+        let written = proxies.filter_map(|id| Some(self.proxies.get(id)?.written.len() + 1)).max();
+        let most = Some(self.settings.messages_most).filter(|most| *most > 0);
+        most.map_or(0.0, |most| written.unwrap_or(1) as f64 / most as f64)
     }
 
-    /// Drains kept: a server that drains or is gone is shut out of all tables at once, whatever they name. One
-    /// that returns stays out until no proxy can hold its old weight, in a table of now or one it was bound to
-    /// before. Danger: it is cold.
+    /// Drains kept: a server that drains or is gone is shut out of all tables at once, whatever they name.
+    /// One that returns stays out until no proxy can hold its old weight. Danger: it is cold.
     fn shut_the_leaving(&mut self, orders: &mut Orders) {
         if self.parts > 0 && self.proxies.values().all(|proxy| proxy.bound) {
             self.tables.retain(|table, _| self.schemes.iter().any(|scheme| scheme.table == *table));
@@ -712,22 +700,29 @@
     }
 
     fn table_lines(&mut self, now: Micros, orders: &mut Orders) {
-        let (mut changes, mut tables) = (Vec::new(), BTreeMap::new());
+        let (mut changes, mut tables, whole) = (Vec::new(), BTreeMap::new(), Zones::new());
         let (levels, cold) = (self.class_levels(), self.cold_demand());
         let lean = |zone: ZoneId| (zone, self.lean(zone));
         let lean: BTreeMap<ZoneId, Zones> = (0..self.settings.zones as u16).map(ZoneId).map(lean).collect();
         for scheme in self.schemes.clone() {
-            let parts = scheme.zone.and_then(|zone| lean.get(&zone)).unwrap_or(&Zones::new()).clone();
+            let lean = scheme.zone.and_then(|zone| lean.get(&zone)).unwrap_or(&whole);
             let serves = |p: &Proxy| p.bound && scheme.serves(p.zone, p.part);
-            let users: Vec<ProxyId> =
-                self.proxies.iter().filter(|(_, p)| serves(p)).map(|(id, _)| *id).collect();
+            let users = self.proxies.iter().filter(|(_, proxy)| serves(proxy));
+            let users: Vec<ProxyId> = users.map(|(id, _)| *id).collect();
             let used = self.messages_used(users.iter());
-            let target = self.target(scheme, &parts, cold);
+            let target = self.target(scheme, lean, cold);
             let rates = users.iter().filter_map(|id| Some(self.proxies.get(id)?.rate()));
             let rate = rates.sum::<f64>() / users.len().max(1) as f64;
             self.changes(scheme, &target, rate, &mut changes);
-            if users.is_empty() || used <= MESSAGES.1 {
-                self.order_levels(scheme, &levels, &users, orders);
+            // No effect twice: a second try only after proof that the first did not run.
+            let known = self.tables.entry(scheme.table).or_default();
+            for (k, &level) in levels.iter().enumerate().filter(|(k, _)| scheme.classes.has(*k)) {
+                if known.levels.get(&k) != Some(&level) && (users.is_empty() || used <= MESSAGES.1) {
+                    known.levels.insert(k, level);
+                    let (table, classes) = (Some(scheme.table), ClassSet::default().with(k));
+                    let order = Action::Admit { table, classes, level, retry: Retry::Unrun };
+                    orders.give(order, users.iter().copied());
+                }
             }
             tables.insert(scheme.table, (users, used));
         }
@@ -735,15 +730,13 @@
         // Messages have heads: all proxies' may take no more than a part of the channel.
         let heads = self.proxies.len() as f64 * (self.settings.message_head + 1.0);
         let heads = Micros((1e6 * HEADS_SHARE.recip() * heads / self.settings.lines_per_s.max(1.0)) as i64);
-        let hurry = if changes.iter().any(|change| change.urgent) { 2 } else { 1 };
-        let every = UPDATE_EVERY.max(heads).0 / hurry;
-        let due = self.updated.is_none_or(|at| (now - at).0 >= every);
+        let due = self.updated.is_none_or(|at| now - at >= UPDATE_EVERY.max(heads));
         let mut lines = self.channel.waiting + orders.lines.values().sum::<f64>();
         for Change { scheme: Scheme { table, .. }, server, weight, guard, .. } in changes {
             let Some((users, used)) = tables.get(&table) else { continue };
             if !users.is_empty() {
-                // A change that rides on a message already due costs no message: else refusals and guards under
-                // load would use up the limit, and restored servers would wait for their weight.
+                // A change that rides on a message already due costs no message: else refusals and guards
+                // under load would use up the limit, and restored servers would wait for their weight.
                 let rides = users.iter().all(|user| orders.lines.contains_key(user));
                 let head = if rides { 0.0 } else { self.settings.message_head + 1.0 };
                 let cost = users.len() as f64 * (1.0 + head);
@@ -764,8 +757,6 @@
 
     /// Lines that differ from what was sent.
     fn changes(&self, scheme: Scheme, target: &Lines, rate: f64, changes: &mut Vec<Change>) {
-        let filled = self.channel.waiting / (BACKLOG.0 * self.settings.backlog).max(1.0);
-        let resend = RESEND_SHARE.0 + (RESEND_SHARE.1 - RESEND_SHARE.0) * clamp01(filled);
         let sent = self.tables.get(&scheme.table).map(|table| table.lines.clone()).unwrap_or_default();
         let total = target.values().sum::<f64>().max(f64::MIN_POSITIVE);
         // Only parts of a table count: one that moves as a whole would fill the channel and change nothing.
@@ -781,38 +772,24 @@
             // goes by size, or failing servers crowd out those that recovered and the fleet in use shrinks.
             let cold = known.is_some_and(|server| server.warmth < 1.0) && weight < old;
             let guard = cold || sent.is_empty();
-            let cooled = weight < COOLED * old && known.is_some_and(|server| server.state != State::Full);
-            if ended || (weight > 0.0 && (weight - old).abs() > resend * old) {
+            if ended || (weight > 0.0 && (weight - old).abs() > RESEND_SHARE * old) {
                 // Largest first: traffic moved for each line that it costs. A server shut out moves none, one
-                // not named yet counts whole, since it can take over nothing before: else a grown fleet idles.
+                // not named yet counts whole: else a grown fleet idles.
                 let used = known.is_some_and(Server::open);
                 let home = |server: &&Server| scheme.zone.is_none_or(|zone| zone == server.entry.zone);
                 let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size) * scale;
                 let moved = (weight - old).abs().max(whole);
                 let size = if used { rate * moved / (total * scale) } else { 0.0 };
-                changes.push(Change { scheme, server, weight, guard, urgent: guard || cooled, size });
-            }
-        }
-    }
-
-    /// Levels, with a second try only after proof that the first did not run: nothing takes effect twice.
-    fn order_levels(&mut self, scheme: Scheme, levels: &[f64], users: &[ProxyId], orders: &mut Orders) {
-        let known = self.tables.entry(scheme.table).or_default();
-        for (k, &level) in levels.iter().enumerate().filter(|(k, _)| scheme.classes.has(*k)) {
-            if known.levels.get(&k) != Some(&level) {
-                known.levels.insert(k, level);
-                let (table, classes) = (Some(scheme.table), ClassSet::default().with(k));
-                let order = Action::Admit { table, classes, level, retry: Retry::Unrun };
-                orders.give(order, users.iter().copied());
+                changes.push(Change { scheme, server, weight, guard, size });
             }
         }
     }
 
-    /// Puts joined proxies on their tables, those with most traffic first, each on the part with most room for
-    /// it, as many as the channel takes now; the others follow at the next turn. A proxy whose part bears far
-    /// more than another, since it lost servers or was dealt badly, moves there.
+    /// Puts joined proxies on their tables, those with most traffic first, each on the part with most room
+    /// for it, as many as the channel takes now; the others follow at the next turn. A proxy whose part bears
+    /// far more than another, since it lost servers or was dealt badly, moves there.
     fn bind_joined(&mut self, orders: &mut Orders) {
-        // By zone, where zones have tables of their own, and part: its servers' weight, what its proxies bring.
+        // By zone, where zones have their own tables, and part: its servers' weight, its proxies' traffic.
         let set = |zone: ZoneId| if leans(&self.settings) { zone } else { ZoneId::default() };
         let mut room: BTreeMap<(ZoneId, usize), (f64, f64)> = BTreeMap::new();
         for (_, server) in self.open().filter(|_| self.parts > 0) {
@@ -855,8 +832,8 @@
         }
     }
 
-    /// Tables of slices in this instance's charge: a line stays while its server is usable, since servers keep
-    /// what they know of a slice's keys; else it gives way to the server the slice's number picks.
+    /// Tables of slices in this instance's charge: a line stays while its server is usable, since servers
+    /// keep what they know of a slice's keys; else it gives way to the server the slice's number picks.
     fn slice_lines(&mut self, now: Micros, orders: &mut Orders) {
         let usable = self.target(Scheme::default(), &Zones::new(), self.cold_demand());
         let mark = self.next_mark();
@@ -870,8 +847,7 @@
                 continue;
             }
             if self.settings.sole_owner {
-                // No effect twice: nobody owns the slice until every proxy said so or lost its lease, and no
-                // write is in hand.
+                // No effect twice: nobody owns the slice until no proxy can write to the former owner.
                 let not_before = now + self.settings.lease;
                 let handover = slice.get_or_insert_with(|| {
                     orders.give(Action::Clear(*id), proxies.iter().copied());
@@ -942,10 +918,10 @@
     Some(server.speed.probes.mean()? / server.probes_now.mean()?)
 }
 
-/// By what proxies met at a server: the share of failed tries beyond its zones' fleet, failed probes counted as
-/// tries, less its standard error, since a few that fail by chance say little; and the mean time of good answers
-/// against its zones' median. Failures of a server that reports itself saturated count less. Danger: under high
-/// load a withdrawal saturates the next server, and the fleet swings.
+/// By what proxies met at a server: the share of failed tries beyond its zones' fleet, failed probes counted
+/// as tries, less its standard error, since a few that fail by chance say little; and the mean time of good
+/// answers against its zones' median. Failures of a server that reports itself saturated count less. Danger:
+/// under high load a withdrawal saturates the next server, and the fleet swings.
 fn met(server: &Server, zones: &References, probes_count: bool) -> (f64, f64) {
     let probed = if probes_count { server.probing.failed } else { 0.0 };
     let (mut tries, mut failed, mut good, mut took) =
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -211,7 +211,6 @@
     pub server: ServerId,
     pub weight: f64,
     pub guard: bool,
-    pub urgent: bool,
     pub size: f64,
 }
 
