--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -62,6 +62,8 @@
 const PROBE_EVERY: (Micros, Micros) = (Micros(1_000_000), Micros(3_000_000));
 /// A failed probe counts as so many failed tries, times the length of the failing row.
 const PROBE_TRIES: f64 = 2.0;
+/// Servers of a zone that must be heard of before what is common to them is taken for the way there.
+const LINK_LEAST: usize = 8;
 /// At least this share of the probes must be answered before one that timed out is held against a server.
 const PROBES_ANSWERED: f64 = 0.7;
 /// Panic threshold: at least this share of the listed weight stays in use.
@@ -192,6 +194,8 @@
     usual_parts: usize,
     /// When tries last failed everywhere while servers idled.
     narrowed: Option<Micros>,
+    /// By zone of the proxies and of the servers: the smoothed score of the way.
+    links: BTreeMap<(ZoneId, ZoneId), f64>,
     ticked: Micros,
     updated: Option<Micros>,
     subscribe_at: Option<Micros>,
@@ -243,6 +247,18 @@
         self.servers.iter().filter(|(_, server)| server.open())
     }
 
+    /// The median of what open servers show: of a zone's, if enough do, else of the fleet's.
+    fn median(&self, zone: ZoneId, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
+        let near = self.open().filter(|(_, server)| server.entry.zone == zone);
+        let near: Vec<f64> = near.filter_map(|(_, server)| of(server)).collect();
+        let enough = near.len() >= LINK_LEAST;
+        if enough {
+            quantile(near.into_iter(), 0.5)
+        } else {
+            self.fleet_median(of)
+        }
+    }
+
     fn fleet_median(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
         quantile(self.open().filter_map(|(_, server)| of(server)), 0.5)
     }
@@ -354,18 +370,24 @@
         if probes_count && failing > NARROW_FROM.0 && self.admission.strain < REFUSE.0 {
             self.narrowed = Some(now);
         }
-        let slowed_fleet = self.fleet_median(slowed).unwrap_or(1.0);
+        let slowed_zone: Zones =
+            self.zones().filter_map(|zone| Some((zone, self.median(zone, slowed)?))).collect();
+        let silent = |server: &Server| Some(f64::from(u8::from(server.probing.failing > 0)));
+        let silent: BTreeSet<ZoneId> =
+            self.zones().filter(|zone| self.median(*zone, silent).is_some_and(|share| share > 0.5)).collect();
         let fleet_saturated = self.fleet_median(|server| Some(server.saturated())).unwrap_or(0.0);
         // Terms count by what the others can take: work moved off one server of a full fleet jams the next.
         // It may hurt while a server fails under overload; refusals then make the room.
         let spare = 1.0 - fleet_saturated;
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
-            let (failing, answers) = met(server, &zones, probes_count);
+            let (zone, slowed_zone) =
+                (server.entry.zone, slowed_zone.get(&server.entry.zone).unwrap_or(&1.0));
+            let (failing, answers) = met(server, &zones, probes_count && !silent.contains(&zone));
             let error = 1.0 - spare * clamp01(failing / ERROR_BUDGET);
             // A probe's time now against its usual, by what befell the fleet, shows a slowed machine whatever
             // its model; answer times show also what a probe does not meet.
             let ratio =
-                slowed(server).map_or(answers, |now| (now / slowed_fleet).max(answers * ANSWERS_COUNT));
+                slowed(server).map_or(answers, |now| (now / slowed_zone).max(answers * ANSWERS_COUNT));
             let latency = 1.0 - spare * clamp01(ratio / LATENCY_BUDGET);
             let before = server.state;
             step(server, error, latency);
@@ -379,15 +401,37 @@
         self.admit(elapsed, &zones, mute, out);
     }
 
-    /// What strikes all servers alike - a stalled proxy, zone or supervisor, an overload - blames none.
-    fn references(&self) -> References {
-        let zones: BTreeSet<ZoneId> = self.open().flat_map(|(_, s)| s.heard.keys().copied()).collect();
-        let median = |zone: &ZoneId, of: fn(&Evidence) -> Fading| {
-            let seen = self.open().filter_map(|(_, s)| s.heard.get(zone).map(of)).filter(|f| f.weight >= 1.0);
-            quantile(seen.map(|f| f.sum / f.weight), 0.5).unwrap_or(0.0)
+    /// By zone of the proxies and of the servers: the usual share of failed tries and time. What strikes all
+    /// servers alike - a stalled proxy, zone or supervisor, an overload - blames none. The way between two zones
+    /// has a score like a server's: what a zone's servers lack as seen from another, against what is met there
+    /// or, where that is not heard, at home. Danger: a slow link costs healthy servers their weight at proxies
+    /// that reach them well; while it is slow, they are judged by what all of them show there.
+    fn references(&mut self) -> References {
+        let seen = |f: Fading| (f.weight >= 1.0).then(|| f.sum / f.weight);
+        let of = |from: ZoneId, f: fn(&Evidence) -> Fading| move |s: &Server| seen(f(s.heard.get(&from)?));
+        let near = |from, to| {
+            Some((self.median(to, of(from, |e| e.failed))?, self.median(to, of(from, |e| e.cost))?))
         };
-        let medians = |zone| (zone, (median(&zone, |e| e.failed), median(&zone, |e| e.cost)));
-        zones.into_iter().map(medians).collect()
+        let heard: BTreeSet<ZoneId> = self.open().flat_map(|(_, s)| s.heard.keys().copied()).collect();
+        let (mut usual, mut links) = (References::new(), self.links.clone());
+        for (from, to) in heard.iter().flat_map(|from| self.zones().map(move |to| (*from, to))) {
+            let all = |f: fn(&Evidence) -> Fading| self.fleet_median(of(from, f)).unwrap_or(0.0);
+            let all = (all(|e| e.failed), all(|e| e.cost));
+            let seen = near(from, to).unwrap_or(all);
+            let there = if heard.contains(&to) { near(to, to) } else { near(from, from) };
+            let there = there.unwrap_or(all);
+            let error = 1.0 - clamp01((seen.0 - there.0) / ERROR_BUDGET);
+            let latency = 1.0 - clamp01(seen.1 / there.1.max(1.0) / LATENCY_BUDGET);
+            let score = links.entry((from, to)).or_insert(1.0);
+            *score = smooth(*score, error.min(latency));
+            usual.insert((from, to), if *score < RESTORE_ABOVE { seen } else { all });
+        }
+        self.links = links;
+        usual
+    }
+
+    fn zones(&self) -> impl Iterator<Item = ZoneId> + use<> {
+        (0..self.settings.zones.max(1) as u16).map(ZoneId)
     }
 
     /// Share of servers that answer no probe, in the median zone: what is mute in one zone alone may be the
@@ -494,6 +538,14 @@
     /// stays at home, the rest goes where others have more than their own zone brings, and, where tables name
     /// the whole fleet, a little goes everywhere, so that all are heard of.
     fn lean(&self, zone: ZoneId) -> Zones {
+        let link = |to: ZoneId| {
+            let score = self.links.get(&(zone, to)).map_or(1.0, |score| score / RESTORE_ABOVE);
+            (to, score.clamp(LEAST_SHARE * LEAST_SHARE, 1.0))
+        };
+        let links = self.zones().map(link).collect::<Zones>();
+        if !leans(&self.settings) {
+            return links;
+        }
         let can = shares(self.open().map(|(_, server)| (server.entry.zone, server.weight)));
         let comes = shares(self.proxies.values().map(|proxy| (proxy.zone, proxy.rate())));
         let comes = |zone: &ZoneId| comes.get(zone).copied().unwrap_or(0.0);
@@ -503,7 +555,8 @@
         let lean = if self.parts > 1 { 1.0 } else { LEAN };
         let part = |other: &ZoneId, can: f64| {
             let away = (1.0 - stays) * spare(other) / all_spare.max(1e-6);
-            lean * (if *other == zone { stays } else { away }) / can.max(1e-6) + 1.0 - lean
+            let home = if *other == zone { stays } else { away };
+            (lean * home / can.max(1e-6) + 1.0 - lean) * links.get(other).unwrap_or(&1.0)
         };
         can.iter().map(|(other, can)| (*other, part(other, *can))).collect()
     }
@@ -563,7 +616,7 @@
         // probes shows how many share a core, and those that time out what waits beyond full cores.
         let shared = self.fleet_median(|server| server.speed.service.mean().and(slowed(server)));
         let shared = full(shared.unwrap_or(1.0), BUSY_STRETCH);
-        let failing = zones.values().map(failing).fold(0.0, f64::max);
+        let failing = quantile(zones.values().map(failing), 0.5).unwrap_or(0.0);
         let reported = (busy / told.max(1.0)).max(shared).max(mute);
         let term = if told > 0.0 { reported } else { failing };
         let admission = &mut self.admission;
@@ -703,7 +756,7 @@
         let (mut changes, mut tables, whole) = (Vec::new(), BTreeMap::new(), Zones::new());
         let (levels, cold) = (self.class_levels(), self.cold_demand());
         let lean = |zone: ZoneId| (zone, self.lean(zone));
-        let lean: BTreeMap<ZoneId, Zones> = (0..self.settings.zones as u16).map(ZoneId).map(lean).collect();
+        let lean: BTreeMap<ZoneId, Zones> = self.zones().map(lean).collect();
         for scheme in self.schemes.clone() {
             let lean = scheme.zone.and_then(|zone| lean.get(&zone)).unwrap_or(&whole);
             let serves = |p: &Proxy| p.bound && scheme.serves(p.zone, p.part);
@@ -881,9 +934,8 @@
         let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
         classes.fold(ClassSet::default(), |set, (k, _)| set.with(k))
     };
-    let zones = || (0..settings.zones as u16).map(|zone| Some(ZoneId(zone)));
-    let shared: Vec<_> = if leans(settings) { zones().collect() } else { vec![None] };
-    let tables = shared.into_iter().map(|zone| (zone, false)).chain(zones().map(|zone| (zone, true)));
+    let zones = || (0..settings.zones.max(1) as u16).map(|zone| Some(ZoneId(zone)));
+    let tables = zones().map(|zone| (zone, false)).chain(zones().map(|zone| (zone, true)));
     let tables = tables.filter(|(_, home_only)| set(*home_only) != ClassSet::default());
     let tables = tables.flat_map(|(zone, home_only)| (0..parts).map(move |part| (zone, home_only, part)));
     let scheme = |(k, (zone, home_only, part))| {
@@ -927,7 +979,7 @@
     let (mut tries, mut failed, mut good, mut took) =
         (PRIOR_TRIES + probed, probed, PRIOR_TRIES, PRIOR_TRIES);
     for (zone, evidence) in &server.heard {
-        let (usual, median) = zones.get(zone).copied().unwrap_or_default();
+        let (usual, median) = zones.get(&(*zone, server.entry.zone)).copied().unwrap_or_default();
         tries += evidence.failed.weight;
         failed += (evidence.failed.sum - usual * evidence.failed.weight).max(0.0);
         if median > 0.0 {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -11,8 +11,8 @@
 /// By zone of the servers: a factor on their weights.
 pub(crate) type Zones = BTreeMap<ZoneId, f64>;
 
-/// By zone: the fleet's median error share and latency.
-pub(crate) type References = BTreeMap<ZoneId, (f64, f64)>;
+/// By zone of the proxies and of the servers: the median error share and latency.
+pub(crate) type References = BTreeMap<(ZoneId, ZoneId), (f64, f64)>;
 
 /// The three states of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
