--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,5 +1,4 @@
-//! Every decision of chutegrade. Its types are in `interface.rs`, what it remembers, plain data, in
-//! `state.rs`.
+//! Every decision of chutegrade. Its types are in `interface.rs`, the plain data it keeps in `state.rs`.
 //!
 //! In order: registry view, evidence, score and state, weights, admission and retries, rule guards, pacing.
 //! A server's weight follows its headroom score: the minimum of clamped one-minus-ratio terms, smoothed,
@@ -66,12 +65,10 @@
 const LINK_LEAST: usize = 8;
 /// At least this share of the probes must be answered before one that timed out is held against a server.
 const PROBES_ANSWERED: f64 = 0.7;
-/// Panic threshold: at least this share of the listed weight stays in use.
-const PANIC_SHARE: f64 = 0.5;
 /// A cold server's part is set for this multiple of what the listed fleet can do: tallies are seconds late.
 const COLD_DEMAND: f64 = 4.0;
-/// Tries for each good answer, and saturation of the fleet, which probes tell seconds before, beyond which
-/// cold servers are kept out where proxies avoid servers by themselves.
+/// Tries an answer, and saturation, beyond which cold servers stay out where proxies avoid servers
+/// themselves.
 const COLD_OUT: (f64, f64) = (1.5, 0.3);
 /// Demand that cold servers alone must bear, as a multiple of the size of all servers known.
 const COLD_ALONE: f64 = 2.0;
@@ -91,9 +88,9 @@
 const CONNECTIONS_SHARE: f64 = 0.5;
 /// A proxy moves to another part once its own bears so many times what the other would with it.
 const REDEAL: f64 = 2.0;
-/// The fleet's median share of failed tries, while probes are answered and nothing is saturated, from which
-/// tables are narrowed, and for how long after: to so many proxies, and at least so many servers, each.
+/// Median share of failed tries at idle servers from which tables are narrowed, and for how long after.
 const NARROW_FROM: (f64, Micros) = (0.3, Micros(30_000_000));
+/// To so many proxies, and at least so many servers, each.
 const NARROW_TO: (f64, f64) = (2.0, 5.0);
 /// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
 const BACKLOG: (f64, f64) = (0.5, 0.9);
@@ -117,13 +114,11 @@
     }
 
     fn fade(&mut self, elapsed: f64) {
-        for evidence in self.heard.values_mut() {
-            evidence.failed.fade(elapsed, EVIDENCE_HALF_LIFE);
-            evidence.cost.fade(elapsed, EVIDENCE_HALF_LIFE);
+        let heard = self.heard.values_mut().flat_map(|evidence| [&mut evidence.failed, &mut evidence.cost]);
+        for evidence in heard.chain([&mut self.busy, &mut self.probes_now]) {
+            evidence.fade(elapsed, EVIDENCE_HALF_LIFE);
         }
         self.probing.failed *= 0.5f64.powf(elapsed / EVIDENCE_HALF_LIFE);
-        self.busy.fade(elapsed, EVIDENCE_HALF_LIFE);
-        self.probes_now.fade(elapsed, EVIDENCE_HALF_LIFE);
         self.speed.fade(elapsed, SPEED_HALF_LIFE);
     }
 
@@ -187,15 +182,11 @@
     schemes: Vec<Scheme>,
     channel: Channel,
     admission: Admission,
-    /// Longer way of probes to other zones, in seconds.
-    further: f64,
-    /// Parts that the fleet is dealt into; 0 until the first proxies tell what they carry.
-    parts: usize,
-    usual_parts: usize,
-    /// When tries last failed everywhere while servers idled.
-    narrowed: Option<Micros>,
-    /// By zone of the proxies and of the servers: the smoothed score of the way.
-    links: BTreeMap<(ZoneId, ZoneId), f64>,
+    further: f64,                           // longer way of probes to other zones, in seconds
+    parts: usize,                           // that the fleet is dealt into; 0 until the first proxies joined
+    usual_parts: usize,                     // while connections do not fail
+    narrowed: Option<Micros>,               // when tries last failed everywhere while servers idled
+    links: BTreeMap<(ZoneId, ZoneId), f64>, // scores of the ways, by zone of proxies and of servers
     ticked: Micros,
     updated: Option<Micros>,
     subscribe_at: Option<Micros>,
@@ -213,8 +204,7 @@
     /// Takes in what happened by `now` and returns the orders to give.
     pub fn handle(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
         let mut out = Vec::new();
-        if !self.started {
-            self.started = true;
+        if !std::mem::replace(&mut self.started, true) {
             self.ticked = now;
             if self.settings.list_on_request {
                 out.push(Action::Subscribe(true));
@@ -231,8 +221,8 @@
             out.push(Action::Timer { id: TICK_TIMER, after: TICK });
             self.tick(now, &mut out);
         }
-        // The work of a batch follows what happened: answers to probes and tallies wait for the tick. Danger:
-        // a large fleet probed each second would otherwise use up the instance's share of processor time.
+        // Answers to probes and tallies wait for the tick. Danger: work for each, in a large fleet, makes all
+        // late.
         let news = |e: &Event| matches!(e, Event::Members(..) | Event::Joined { .. } | Event::Tenure { .. });
         let freed =
             |e: &Event| self.settings.sole_owner && matches!(e, Event::Receipt { .. } | Event::Left(_));
@@ -251,12 +241,8 @@
     fn median(&self, zone: ZoneId, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
         let near = self.open().filter(|(_, server)| server.entry.zone == zone);
         let near: Vec<f64> = near.filter_map(|(_, server)| of(server)).collect();
-        let enough = near.len() >= LINK_LEAST;
-        if enough {
-            quantile(near.into_iter(), 0.5)
-        } else {
-            self.fleet_median(of)
-        }
+        let near = Some(near).filter(|near| near.len() >= LINK_LEAST);
+        near.map_or_else(|| self.fleet_median(of), |near| quantile(near.into_iter(), 0.5))
     }
 
     fn fleet_median(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
@@ -357,37 +343,34 @@
     fn tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         let elapsed = (now - self.ticked).secs().max(0.0);
         self.ticked = now;
-        if self.subscribe_at.is_some_and(|at| at <= now) {
-            self.subscribe_at = None;
+        if self.subscribe_at.take_if(|at| *at <= now).is_some() {
             out.push(Action::Subscribe(true));
         }
         self.further = self.way();
         let zones = self.references();
-        // Failed probes say nothing of servers while few are answered: the own link or process may fail.
+        // Failed probes say nothing of servers while few are answered, in the median zone or in their own:
+        // the own process or the way there may fail, and refusing frees no link.
         let mute = self.mute();
-        let probes_count = mute <= 1.0 - PROBES_ANSWERED;
+        let median_mute = quantile(mute.values().copied(), 0.5).unwrap_or(0.0);
+        let probes_count = median_mute <= 1.0 - PROBES_ANSWERED;
         let failing = zones.values().map(|zone| zone.0).reduce(f64::min).unwrap_or(0.0);
         if probes_count && failing > NARROW_FROM.0 && self.admission.strain < REFUSE.0 {
             self.narrowed = Some(now);
         }
-        let slowed_zone: Zones =
-            self.zones().filter_map(|zone| Some((zone, self.median(zone, slowed)?))).collect();
-        let silent = |server: &Server| Some(f64::from(u8::from(server.probing.failing > 0)));
-        let silent: BTreeSet<ZoneId> =
-            self.zones().filter(|zone| self.median(*zone, silent).is_some_and(|share| share > 0.5)).collect();
+        let usual: Zones = self.zones().filter_map(|zone| Some((zone, self.median(zone, slowed)?))).collect();
         let fleet_saturated = self.fleet_median(|server| Some(server.saturated())).unwrap_or(0.0);
         // Terms count by what the others can take: work moved off one server of a full fleet jams the next.
         // It may hurt while a server fails under overload; refusals then make the room.
         let spare = 1.0 - fleet_saturated;
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
-            let (zone, slowed_zone) =
-                (server.entry.zone, slowed_zone.get(&server.entry.zone).unwrap_or(&1.0));
-            let (failing, answers) = met(server, &zones, probes_count && !silent.contains(&zone));
+            let (zone, at) = (server.entry.zone, |zones: &Zones, zone| zones.get(zone).copied());
+            let answered = probes_count && at(&mute, &zone).is_none_or(|mute| mute <= 0.5);
+            let (failing, answers) = met(server, &zones, answered);
             let error = 1.0 - spare * clamp01(failing / ERROR_BUDGET);
             // A probe's time now against its usual, by what befell the fleet, shows a slowed machine whatever
             // its model; answer times show also what a probe does not meet.
-            let ratio =
-                slowed(server).map_or(answers, |now| (now / slowed_zone).max(answers * ANSWERS_COUNT));
+            let probed = slowed(server).map(|now| now / at(&usual, &zone).unwrap_or(1.0));
+            let ratio = probed.map_or(answers, |probed| probed.max(answers * ANSWERS_COUNT));
             let latency = 1.0 - spare * clamp01(ratio / LATENCY_BUDGET);
             let before = server.state;
             step(server, error, latency);
@@ -398,14 +381,14 @@
             server.fade(elapsed);
         }
         self.proxies.values_mut().for_each(|proxy| proxy.came.fade(elapsed, SPEED_HALF_LIFE));
-        self.admit(elapsed, &zones, mute, out);
+        self.admit(elapsed, &zones, median_mute, out);
     }
 
     /// By zone of the proxies and of the servers: the usual share of failed tries and time. What strikes all
-    /// servers alike - a stalled proxy, zone or supervisor, an overload - blames none. The way between two zones
-    /// has a score like a server's: what a zone's servers lack as seen from another, against what is met there
-    /// or, where that is not heard, at home. Danger: a slow link costs healthy servers their weight at proxies
-    /// that reach them well; while it is slow, they are judged by what all of them show there.
+    /// servers alike - a stalled proxy, zone or supervisor, an overload - blames none. The way between two
+    /// zones has a score like a server's, by what its servers lack against what is met there or else at home.
+    /// Danger: a slow link costs healthy servers their weight; while it is slow, they are judged by each
+    /// other.
     fn references(&mut self) -> References {
         let seen = |f: Fading| (f.weight >= 1.0).then(|| f.sum / f.weight);
         let of = |from: ZoneId, f: fn(&Evidence) -> Fading| move |s: &Server| seen(f(s.heard.get(&from)?));
@@ -434,15 +417,14 @@
         (0..self.settings.zones.max(1) as u16).map(ZoneId)
     }
 
-    /// Share of servers that answer no probe, in the median zone: what is mute in one zone alone may be the
-    /// way there, for which neither servers nor load are to blame.
-    fn mute(&self) -> f64 {
-        let mut zones: BTreeMap<ZoneId, (f64, f64)> = BTreeMap::new();
-        for (_, server) in self.open() {
-            let (mute, all) = zones.entry(server.entry.zone).or_default();
-            (*mute, *all) = (*mute + f64::from(u8::from(server.probing.failing > 0)), *all + 1.0);
-        }
-        quantile(zones.values().map(|(mute, all)| mute / all), 0.5).unwrap_or(0.0)
+    /// By zone, the share of its servers that answer no probe.
+    fn mute(&self) -> Zones {
+        let silent = |zone: &ZoneId| {
+            let here = self.open().filter(|(_, server)| server.entry.zone == *zone);
+            let silent = here.clone().filter(|(_, server)| server.probing.failing > 0).count();
+            (*zone, silent as f64 / here.count() as f64)
+        };
+        self.zones().map(|zone| silent(&zone)).filter(|(_, share)| share.is_finite()).collect()
     }
 
     fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
@@ -471,42 +453,34 @@
     }
 
     /// How fast each server is for its listed weight, against the fleet's, or, where listed weights are
-    /// registered capacities, which hold the kind's speed, against its kind's; 1 where nothing tells. Danger:
-    /// either gauge alone can be wrong for good: probes are precise but slight, service times few and mixed.
+    /// registered capacities, which hold the kind's speed, against its kind's; 1 where nothing tells.
     fn speeds(&self) -> Lines {
-        let gauge = |Speed { probes, service }: &Speed, by_probes: bool| match by_probes {
-            true => probes.mean().map(|speed| (speed, PROBE_WORTH)),
-            false => service.mean().map(|ms| (1.0 / ms, service.weight)),
+        let gauge = |Speed { probes, service }: &Speed| {
+            let served = || service.mean().map(|ms| (1.0 / ms, service.weight));
+            probes.mean().map(|speed| (speed, PROBE_WORTH)).or_else(served)
         };
         let nominal = self.settings.listed == Listed::Nominal;
         let group = |server: &Server| if nominal { server.entry.kind } else { 0 };
-        let groups: BTreeSet<u32> = self.open().map(|(_, server)| group(server)).collect();
-        let mut told: BTreeMap<ServerId, (f64, f64)> = BTreeMap::new();
-        for (of, by_probes) in groups.into_iter().flat_map(|of| [(of, true), (of, false)]) {
+        let mut speeds = Lines::new();
+        for of in self.open().map(|(_, server)| group(server)).collect::<BTreeSet<u32>>() {
             let read = self.open().filter(|(_, s)| group(s) == of);
-            let read = read.filter_map(|(id, server)| Some((*id, gauge(&server.speed, by_probes)?)));
+            let read = read.filter_map(|(id, server)| Some((*id, gauge(&server.speed)?)));
             let median = quantile(read.clone().map(|(_, (speed, _))| speed), 0.5).unwrap_or(1.0);
-            for (id, (speed, worth)) in read {
-                let told = told.entry(id).or_default();
-                *told = (told.0 + worth * (speed / median).ln(), told.1 + worth);
-            }
+            let known = |worth: f64| worth / (worth + PRIOR_REPORTS);
+            speeds.extend(read.map(|(id, (speed, worth))| (id, (speed / median).powf(known(worth)))));
         }
-        told.into_iter().map(|(id, (logs, worth))| (id, (logs / (worth + PRIOR_REPORTS)).exp())).collect()
+        speeds
     }
 
-    /// The weight each open server should have. Panic threshold: while too little of the listed weight would
-    /// be left in use, the withdrawn keep a little. Danger: a trouble that is not theirs empties the tables.
+    /// The weight each server should have.
     fn weigh(&mut self, now: Micros) {
         let speeds = self.speeds();
-        let used = self.open().filter(|(_, server)| server.state != State::Withdrawn);
-        let panic = total_size(used) < PANIC_SHARE * total_size(self.open());
         for (id, server) in &mut self.servers {
             server.warmth = server.warmth(now, &self.settings);
             let speed = speeds.get(id).copied().unwrap_or(1.0).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
             let share = match server.state {
                 State::Full => 1.0,
                 State::Reduced => (server.score / RESTORE_ABOVE).clamp(LEAST_SHARE, 1.0),
-                State::Withdrawn if panic => LEAST_SHARE,
                 State::Withdrawn => 0.0,
             };
             server.weight = server.size() * speed * share.min(server.ceiling).min(server.warmth);
@@ -523,20 +497,16 @@
         let within = |server: &Server| home(server) && (bare || of_part(&server));
         let lean = |server: &Server| if home_only { None } else { lean.get(&server.entry.zone).copied() };
         let here = self.open().filter(|(_, server)| within(server));
-        let mut lines: Lines = here.clone().map(|(id, s)| (*id, s.weight * lean(s).unwrap_or(1.0))).collect();
-        if lines.values().all(|weight| *weight <= 0.0) {
-            // Nobody without a server: servers all withdrawn come back, at the part they can surely do.
-            lines = here.map(|(id, server)| (*id, server.size() * server.warmth)).collect();
-        }
+        let mut lines: Lines = here.map(|(id, s)| (*id, s.weight * lean(s).unwrap_or(1.0))).collect();
         let known = self.servers.values().filter(|server| within(server)).map(Server::size).sum();
         let listed = self.open().map(|(_, server)| server).filter(of_part).map(Server::size).sum();
         self.spare_the_cold(known, listed, cold, &mut lines);
         lines
     }
 
-    /// By zone of the servers: the factor on their weights in a zone's table. What the zone's own can do
-    /// stays at home, the rest goes where others have more than their own zone brings, and, where tables name
-    /// the whole fleet, a little goes everywhere, so that all are heard of.
+    /// By zone of the servers: the factor on their weights in a zone's table, by the way there. Where it
+    /// leans, what the zone's own can do stays at home, the rest goes where others have more than their zone
+    /// brings.
     fn lean(&self, zone: ZoneId) -> Zones {
         let link = |to: ZoneId| {
             let score = self.links.get(&(zone, to)).map_or(1.0, |score| score / RESTORE_ABOVE);
@@ -561,13 +531,11 @@
         can.iter().map(|(other, can)| (*other, part(other, *can))).collect()
     }
 
-    /// The demand, as a multiple of what the fleet can do, that a cold server's part must bear, by tries for
-    /// each good answer. And whether cold ones stay out: proxies that avoid failing servers by themselves
-    /// send all they have to a cold one, whatever its weight, once the others fail.
+    /// The demand, as a multiple of what the fleet can do, that a cold server's part must bear. And whether
+    /// cold ones stay out: proxies that avoid failing servers send all to a cold one, once the others fail.
     fn cold_demand(&self) -> (f64, bool) {
-        let seen = self.open().flat_map(|(_, server)| server.heard.values());
-        let tries: f64 = seen.clone().map(|evidence| evidence.failed.weight).sum();
-        let good: f64 = seen.map(|evidence| evidence.cost.weight).sum();
+        let seen = self.open().flat_map(|(_, s)| s.heard.values().map(|e| (e.failed.weight, e.cost.weight)));
+        let (tries, good) = seen.fold((0.0, 0.0), |sum, seen| (sum.0 + seen.0, sum.1 + seen.1));
         let beyond = ((tries + PRIOR_TRIES) / (good + PRIOR_TRIES)).max(1.0);
         let out = self.settings.proxy_ejects_after > 0
             && (beyond > COLD_OUT.0 || self.admission.strain > COLD_OUT.1 || tries <= 0.0);
@@ -582,14 +550,13 @@
             lines.iter().filter(|(id, _)| of(id).0 >= 1.0).map(|(_, weight)| weight).sum()
         };
         if sum(lines) <= 0.0 {
-            // Warm servers that were withdrawn are still to be picked before cold ones alone.
+            // Nobody without a server: warm ones, though withdrawn, are picked before cold ones alone.
             for (id, weight) in lines.iter_mut().filter(|(id, _)| of(id).0 >= 1.0) {
                 *weight = LEAST_SHARE * of(id).1;
             }
         }
         let warm = sum(lines);
         // Cold servers alone: nobody is sent to them until they can surely bear the work of all ever known.
-        // It may refuse more than needed when a deployment was just started whole.
         let bear: f64 = lines.keys().map(|id| of(id).0 * of(id).1).sum();
         if warm <= 0.0 && bear * self.settings.fall_multiple < COLD_ALONE * known {
             lines.values_mut().for_each(|weight| *weight = 0.0);
@@ -603,9 +570,8 @@
 
     // ---- Admission and retries ----
 
-    /// The fleet's headroom decides what share is let in: by what servers report of their saturation; where
-    /// nothing is reported, by tries that fail or are late. Danger: clients come again, abandoned work goes
-    /// on, and a fleet once full stays full. No level outlasts its cause.
+    /// The fleet's headroom decides what share is let in: by reported saturation, else by tries that fail or
+    /// are late. Danger: clients come again, and a fleet once full stays full. No level outlasts its cause.
     fn admit(&mut self, elapsed: f64, zones: &References, mute: f64, out: &mut Vec<Action>) {
         let told = self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight);
         let (busy, told) = told.fold((0.0, 0.0f64), |(sum, n), busy| (sum + busy, n + 1.0));
@@ -617,8 +583,7 @@
         let shared = self.fleet_median(|server| server.speed.service.mean().and(slowed(server)));
         let shared = full(shared.unwrap_or(1.0), BUSY_STRETCH);
         let failing = quantile(zones.values().map(failing), 0.5).unwrap_or(0.0);
-        let reported = (busy / told.max(1.0)).max(shared).max(mute);
-        let term = if told > 0.0 { reported } else { failing };
+        let term = if told > 0.0 { (busy / told).max(shared).max(mute) } else { failing };
         let admission = &mut self.admission;
         admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE));
         admission.strain = -smooth(-admission.strain, -term);
@@ -657,9 +622,8 @@
     // ---- Rule guards and pacing ----
 
     fn publish(&mut self, now: Micros, out: &mut Vec<Action>) {
-        // Short queue: every message carries a mark, and what was not confirmed counts as waiting. Danger: on
-        // some days the channel runs far slower than stated. While anything leaves, some proxy confirms;
-        // after a silence beyond any way and stall nothing waits, but for what the own count had too much.
+        // Short queue: what no proxy confirmed yet counts as waiting. Danger: on some days the channel runs
+        // far slower than stated. After a silence beyond any way and stall nothing waits.
         self.channel.forget(now - self.settings.way_most - self.settings.way_most - CHANNEL_SILENT);
         let past = now - self.settings.messages_window;
         self.proxies.values_mut().for_each(|proxy| proxy.written.retain(|at| *at >= past));
@@ -688,10 +652,10 @@
         out.append(&mut orders.actions);
     }
 
-    /// Deals the fleet into parts, each with tables of its own, where naming all of it would leave a usual
-    /// proxy without open connections to most, or servers without room for everyone's. Danger: at size each
-    /// request pays for a connection, and one change of a weight is a line at every proxy. While connections
-    /// fail everywhere though servers idle, parts are far narrower: servers accept too few.
+    /// Deals the fleet into parts, each with its own tables, where naming all would leave a usual proxy
+    /// without open connections to most, or servers without room for all. Danger: each request pays for a
+    /// connection, each change for a line at every proxy. Parts are far narrower while tries fail though
+    /// servers idle.
     fn split(&mut self, now: Micros) {
         let (joined, servers) = (self.proxies.len() as f64, self.open().count() as f64);
         let usual = self.settings.proxies as f64 / (2 * self.settings.instances.max(1)) as f64;
@@ -782,8 +746,8 @@
         changes.sort_by(|a, b| b.guard.cmp(&a.guard).then(b.size.total_cmp(&a.size)));
         // Messages have heads: all proxies' may take no more than a part of the channel.
         let heads = self.proxies.len() as f64 * (self.settings.message_head + 1.0);
-        let heads = Micros((1e6 * HEADS_SHARE.recip() * heads / self.settings.lines_per_s.max(1.0)) as i64);
-        let due = self.updated.is_none_or(|at| now - at >= UPDATE_EVERY.max(heads));
+        let every = UPDATE_EVERY.secs().max(heads / HEADS_SHARE / self.settings.lines_per_s.max(1.0));
+        let due = self.updated.is_none_or(|at| (now - at).secs() >= every);
         let mut lines = self.channel.waiting + orders.lines.values().sum::<f64>();
         for Change { scheme: Scheme { table, .. }, server, weight, guard, .. } in changes {
             let Some((users, used)) = tables.get(&table) else { continue };
@@ -819,13 +783,12 @@
         for server in sent.keys().chain(target.keys()).copied().collect::<BTreeSet<ServerId>>() {
             let old = sent.get(&server).copied().unwrap_or(0.0);
             let weight = target.get(&server).copied().unwrap_or(0.0) * scale;
-            let ended = weight <= 0.0 && old > 0.0;
             let known = self.servers.get(&server);
             // The rules' lines do not wait for room: an empty table's, and what a cold server loses. All else
             // goes by size, or failing servers crowd out those that recovered and the fleet in use shrinks.
             let cold = known.is_some_and(|server| server.warmth < 1.0) && weight < old;
             let guard = cold || sent.is_empty();
-            if ended || (weight > 0.0 && (weight - old).abs() > RESEND_SHARE * old) {
+            if (weight - old).abs() > RESEND_SHARE * old {
                 // Largest first: traffic moved for each line that it costs. A server shut out moves none, one
                 // not named yet counts whole: else a grown fleet idles.
                 let used = known.is_some_and(Server::open);
@@ -838,9 +801,8 @@
         }
     }
 
-    /// Puts joined proxies on their tables, those with most traffic first, each on the part with most room
-    /// for it, as many as the channel takes now; the others follow at the next turn. A proxy whose part bears
-    /// far more than another, since it lost servers or was dealt badly, moves there.
+    /// Puts joined proxies on their tables, those with most traffic first, each on the part with most room,
+    /// as many as the channel takes now. A proxy whose part bears far more than another moves there.
     fn bind_joined(&mut self, orders: &mut Orders) {
         // By zone, where zones have their own tables, and part: its servers' weight, its proxies' traffic.
         let set = |zone: ZoneId| if leans(&self.settings) { zone } else { ZoneId::default() };
@@ -885,8 +847,7 @@
         }
     }
 
-    /// Tables of slices in this instance's charge: a line stays while its server is usable, since servers
-    /// keep what they know of a slice's keys; else it gives way to the server the slice's number picks.
+    /// Tables of slices in charge: a line stays while its server is usable, since it knows the slice's keys.
     fn slice_lines(&mut self, now: Micros, orders: &mut Orders) {
         let usable = self.target(Scheme::default(), &Zones::new(), self.cold_demand());
         let mark = self.next_mark();
@@ -927,22 +888,20 @@
     settings.cross_price > 0.0 && settings.instances == 1
 }
 
-/// The tables of a deployment without slices, for each part of the fleet: one shared by all proxies, or a
-/// zone's that leans home, and a zone's own where a class is served at home only.
+/// The tables without slices: for each part of the fleet and zone, one more where classes stay at home.
 fn schemes(settings: &Settings, parts: usize, first: u16) -> Vec<Scheme> {
     let set = |home_only: bool| {
         let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
         classes.fold(ClassSet::default(), |set, (k, _)| set.with(k))
     };
-    let zones = || (0..settings.zones.max(1) as u16).map(|zone| Some(ZoneId(zone)));
-    let tables = zones().map(|zone| (zone, false)).chain(zones().map(|zone| (zone, true)));
+    let zones = (0..settings.zones.max(1) as u16).map(|zone| Some(ZoneId(zone)));
+    let tables = zones.flat_map(|zone| [(zone, false), (zone, true)]);
     let tables = tables.filter(|(_, home_only)| set(*home_only) != ClassSet::default());
     let tables = tables.flat_map(|(zone, home_only)| (0..parts).map(move |part| (zone, home_only, part)));
-    let scheme = |(k, (zone, home_only, part))| {
-        let (table, classes) = (TableId(k), set(home_only));
-        Scheme { table, zone, home_only, part, classes }
-    };
-    (first..u16::MAX).zip(tables).map(scheme).collect()
+    let tables = (first..u16::MAX).map(TableId).zip(tables);
+    let scheme =
+        |(table, (zone, home_only, part))| Scheme { table, zone, home_only, part, classes: set(home_only) };
+    tables.map(scheme).collect()
 }
 
 /// Each zone's share of the whole; none of nothing.
@@ -956,10 +915,6 @@
     zones
 }
 
-fn total_size<'a>(servers: impl Iterator<Item = (&'a ServerId, &'a Server)>) -> f64 {
-    servers.map(|(_, server)| server.size()).sum()
-}
-
 /// How far a value lies on the way from none to full.
 fn full(value: f64, (from, to): (f64, f64)) -> f64 {
     clamp01((value - from) / (to - from))
@@ -971,9 +926,8 @@
 }
 
 /// By what proxies met at a server: the share of failed tries beyond its zones' fleet, failed probes counted
-/// as tries, less its standard error, since a few that fail by chance say little; and the mean time of good
-/// answers against its zones' median. Failures of a server that reports itself saturated count less. Danger:
-/// under high load a withdrawal saturates the next server, and the fleet swings.
+/// as tries, less its standard error, since few say little; and the mean time of good answers against the
+/// median. Failures of a saturated server count less. Danger: a withdrawal saturates the next one.
 fn met(server: &Server, zones: &References, probes_count: bool) -> (f64, f64) {
     let probed = if probes_count { server.probing.failed } else { 0.0 };
     let (mut tries, mut failed, mut good, mut took) =
