--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -523,10 +523,12 @@
         let spare = |zone: &ZoneId| can.get(zone).map_or(0.0, |can| (can - comes(zone)).max(0.0));
         let all_spare = can.keys().map(spare).sum::<f64>();
         let lean = if self.parts > 1 { 1.0 } else { LEAN };
+        // In units of the own zone's servers: their weights are then absolute, whatever happens elsewhere.
+        let own = can.get(&zone).map_or(0.0, |can| can.max(0.01));
         let part = |other: &ZoneId, can: f64| {
             let away = (1.0 - stays) * spare(other) / all_spare.max(1e-6);
-            let home = if *other == zone { stays } else { away };
-            (lean * home / can.max(1e-6) + 1.0 - lean) * links.get(other).unwrap_or(&1.0)
+            let leaning = if *other == zone { stays } else { away * own / can.max(1e-6) };
+            (lean * leaning + (1.0 - lean) * own) * links.get(other).unwrap_or(&1.0)
         };
         can.iter().map(|(other, can)| (*other, part(other, *can))).collect()
     }
@@ -561,10 +563,11 @@
         if warm <= 0.0 && bear * self.settings.fall_multiple < COLD_ALONE * known {
             lines.values_mut().for_each(|weight| *weight = 0.0);
         }
-        for (id, weight) in lines.iter_mut().filter(|(id, _)| warm > 0.0 && of(id).0 < 1.0) {
-            let (warmth, own) = of(id);
-            let part = (self.settings.fall_multiple / demand * warmth * own / listed).min(0.9);
-            *weight = if out { 0.0 } else { weight.min(warm * part / (1.0 - part)) };
+        let part = |id: &ServerId| self.settings.fall_multiple / demand * of(id).0 * of(id).1 / listed;
+        let cold = |id: &ServerId| warm > 0.0 && of(id).0 < 1.0;
+        let whole = warm / (1.0 - lines.keys().filter(|id| cold(id)).map(part).sum::<f64>().min(0.9));
+        for (id, weight) in lines.iter_mut().filter(|(id, _)| cold(id)) {
+            *weight = if out { 0.0 } else { weight.min(whole * part(id)) };
         }
     }
 
@@ -776,13 +779,9 @@
     fn changes(&self, scheme: Scheme, target: &Lines, rate: f64, changes: &mut Vec<Change>) {
         let sent = self.tables.get(&scheme.table).map(|table| table.lines.clone()).unwrap_or_default();
         let total = target.values().sum::<f64>().max(f64::MIN_POSITIVE);
-        // Only parts of a table count: one that moves as a whole would fill the channel and change nothing.
-        let both = target.iter().filter_map(|(id, weight)| Some((*weight, *sent.get(id)?)));
-        let (new, old) = both.fold((0.0, 0.0), |sum, both| (sum.0 + both.0, sum.1 + both.1));
-        let scale = if new > 0.0 && old > 0.0 { old / new } else { 1.0 };
         for server in sent.keys().chain(target.keys()).copied().collect::<BTreeSet<ServerId>>() {
             let old = sent.get(&server).copied().unwrap_or(0.0);
-            let weight = target.get(&server).copied().unwrap_or(0.0) * scale;
+            let weight = target.get(&server).copied().unwrap_or(0.0);
             let known = self.servers.get(&server);
             // The rules' lines do not wait for room: an empty table's, and what a cold server loses. All else
             // goes by size, or failing servers crowd out those that recovered and the fleet in use shrinks.
@@ -793,9 +792,9 @@
                 // not named yet counts whole: else a grown fleet idles.
                 let used = known.is_some_and(Server::open);
                 let home = |server: &&Server| scheme.zone.is_none_or(|zone| zone == server.entry.zone);
-                let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size) * scale;
+                let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size);
                 let moved = (weight - old).abs().max(whole);
-                let size = if used { rate * moved / (total * scale) } else { 0.0 };
+                let size = if used { rate * moved / total } else { 0.0 };
                 changes.push(Change { scheme, server, weight, guard, size });
             }
         }
