--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -67,8 +67,7 @@
 const PROBES_ANSWERED: f64 = 0.7;
 /// A cold server's part is set for this multiple of what the listed fleet can do: tallies are seconds late.
 const COLD_DEMAND: f64 = 4.0;
-/// Tries an answer, and saturation, beyond which cold servers stay out where proxies avoid servers
-/// themselves.
+/// Tries an answer, and saturation, beyond which cold servers stay out where proxies avoid servers.
 const COLD_OUT: (f64, f64) = (1.5, 0.3);
 /// Demand that cold servers alone must bear, as a multiple of the size of all servers known.
 const COLD_ALONE: f64 = 2.0;
@@ -221,7 +220,7 @@
             out.push(Action::Timer { id: TICK_TIMER, after: TICK });
             self.tick(now, &mut out);
         }
-        // Answers to probes and tallies wait for the tick. Danger: work for each, in a large fleet, makes all
+        // Probe answers and tallies wait for the tick. Danger: work for each makes a large fleet's requests
         // late.
         let news = |e: &Event| matches!(e, Event::Members(..) | Event::Joined { .. } | Event::Tenure { .. });
         let freed =
@@ -238,15 +237,13 @@
     }
 
     /// The median of what open servers show: of a zone's, if enough do, else of the fleet's.
-    fn median(&self, zone: ZoneId, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
-        let near = self.open().filter(|(_, server)| server.entry.zone == zone);
-        let near: Vec<f64> = near.filter_map(|(_, server)| of(server)).collect();
-        let near = Some(near).filter(|near| near.len() >= LINK_LEAST);
-        near.map_or_else(|| self.fleet_median(of), |near| quantile(near.into_iter(), 0.5))
-    }
-
-    fn fleet_median(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
-        quantile(self.open().filter_map(|(_, server)| of(server)), 0.5)
+    fn median(&self, zone: Option<ZoneId>, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
+        let near = |server: &Server| zone.is_none_or(|zone| zone == server.entry.zone);
+        let shown = |near: &dyn Fn(&Server) -> bool| -> Vec<f64> {
+            self.open().filter(|(_, server)| near(server)).filter_map(|(_, server)| of(server)).collect()
+        };
+        let seen = Some(shown(&near)).filter(|seen| seen.len() >= LINK_LEAST);
+        quantile(seen.unwrap_or_else(|| shown(&|_| true)).into_iter(), 0.5)
     }
 
     // ---- Registry view and evidence ----
@@ -357,18 +354,17 @@
         if probes_count && failing > NARROW_FROM.0 && self.admission.strain < REFUSE.0 {
             self.narrowed = Some(now);
         }
-        let usual: Zones = self.zones().filter_map(|zone| Some((zone, self.median(zone, slowed)?))).collect();
-        let fleet_saturated = self.fleet_median(|server| Some(server.saturated())).unwrap_or(0.0);
-        // Terms count by what the others can take: work moved off one server of a full fleet jams the next.
-        // It may hurt while a server fails under overload; refusals then make the room.
+        let usual: Zones =
+            self.zones().filter_map(|zone| Some((zone, self.median(Some(zone), slowed)?))).collect();
+        let fleet_saturated = self.median(None, |server| Some(server.saturated())).unwrap_or(0.0);
+        // Terms count by what the others can take: work moved off a server of a full fleet jams the next.
         let spare = 1.0 - fleet_saturated;
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
             let (zone, at) = (server.entry.zone, |zones: &Zones, zone| zones.get(zone).copied());
             let answered = probes_count && at(&mute, &zone).is_none_or(|mute| mute <= 0.5);
             let (failing, answers) = met(server, &zones, answered);
             let error = 1.0 - spare * clamp01(failing / ERROR_BUDGET);
-            // A probe's time now against its usual, by what befell the fleet, shows a slowed machine whatever
-            // its model; answer times show also what a probe does not meet.
+            // Probe times now show a slowed machine whatever its model, answer times what probes do not meet.
             let probed = slowed(server).map(|now| now / at(&usual, &zone).unwrap_or(1.0));
             let ratio = probed.map_or(answers, |probed| probed.max(answers * ANSWERS_COUNT));
             let latency = 1.0 - spare * clamp01(ratio / LATENCY_BUDGET);
@@ -387,22 +383,23 @@
     /// By zone of the proxies and of the servers: the usual share of failed tries and time. What strikes all
     /// servers alike - a stalled proxy, zone or supervisor, an overload - blames none. The way between two
     /// zones has a score like a server's, by what its servers lack against what is met there or else at home.
-    /// Danger: a slow link costs healthy servers their weight; while it is slow, they are judged by each
-    /// other.
+    /// Danger: a slow link costs healthy servers their weight; while it lasts they are judged by each other.
     fn references(&mut self) -> References {
         let seen = |f: Fading| (f.weight >= 1.0).then(|| f.sum / f.weight);
         let of = |from: ZoneId, f: fn(&Evidence) -> Fading| move |s: &Server| seen(f(s.heard.get(&from)?));
         let near = |from, to| {
-            Some((self.median(to, of(from, |e| e.failed))?, self.median(to, of(from, |e| e.cost))?))
+            Some((
+                self.median(Some(to), of(from, |e| e.failed))?,
+                self.median(Some(to), of(from, |e| e.cost))?,
+            ))
         };
         let heard: BTreeSet<ZoneId> = self.open().flat_map(|(_, s)| s.heard.keys().copied()).collect();
         let (mut usual, mut links) = (References::new(), self.links.clone());
         for (from, to) in heard.iter().flat_map(|from| self.zones().map(move |to| (*from, to))) {
-            let all = |f: fn(&Evidence) -> Fading| self.fleet_median(of(from, f)).unwrap_or(0.0);
+            let all = |f: fn(&Evidence) -> Fading| self.median(None, of(from, f)).unwrap_or(0.0);
             let all = (all(|e| e.failed), all(|e| e.cost));
             let seen = near(from, to).unwrap_or(all);
-            let there = if heard.contains(&to) { near(to, to) } else { near(from, from) };
-            let there = there.unwrap_or(all);
+            let there = if heard.contains(&to) { near(to, to) } else { near(from, from) }.unwrap_or(all);
             let error = 1.0 - clamp01((seen.0 - there.0) / ERROR_BUDGET);
             let latency = 1.0 - clamp01(seen.1 / there.1.max(1.0) / LATENCY_BUDGET);
             let score = links.entry((from, to)).or_insert(1.0);
@@ -495,18 +492,25 @@
         // Nobody without a server: a part that lost all its warm ones borrows those of the other parts.
         let bare = !self.open().any(|(_, server)| home(server) && of_part(&server) && server.warmth >= 1.0);
         let within = |server: &Server| home(server) && (bare || of_part(&server));
-        let lean = |server: &Server| if home_only { None } else { lean.get(&server.entry.zone).copied() };
+        let lean = |server: &Server| match lean.get(&server.entry.zone).filter(|_| !home_only) {
+            Some(_) if self.alone() && server.warmth < 1.0 && zone != Some(server.entry.zone) => 0.0,
+            lean => lean.copied().unwrap_or(1.0),
+        };
         let here = self.open().filter(|(_, server)| within(server));
-        let mut lines: Lines = here.map(|(id, s)| (*id, s.weight * lean(s).unwrap_or(1.0))).collect();
+        let mut lines: Lines = here.map(|(id, server)| (*id, server.weight * lean(server))).collect();
         let known = self.servers.values().filter(|server| within(server)).map(Server::size).sum();
         let listed = self.open().map(|(_, server)| server).filter(of_part).map(Server::size).sum();
         self.spare_the_cold(known, listed, cold, &mut lines);
         lines
     }
 
+    fn alone(&self) -> bool {
+        self.parts > 1 && leans(&self.settings)
+    }
+
     /// By zone of the servers: the factor on their weights in a zone's table, by the way there. Where it
-    /// leans, what the zone's own can do stays at home, the rest goes where others have more than their zone
-    /// brings.
+    /// leans, what the zone's own can do stays at home, the rest goes where others have more than comes to
+    /// them.
     fn lean(&self, zone: ZoneId) -> Zones {
         let link = |to: ZoneId| {
             let score = self.links.get(&(zone, to)).map_or(1.0, |score| score / RESTORE_ABOVE);
@@ -522,8 +526,7 @@
         let stays = can.get(&zone).map_or(0.0, |can| can / comes(&zone).max(1e-6)).min(1.0);
         let spare = |zone: &ZoneId| can.get(zone).map_or(0.0, |can| (can - comes(zone)).max(0.0));
         let all_spare = can.keys().map(spare).sum::<f64>();
-        let lean = if self.parts > 1 { 1.0 } else { LEAN };
-        // In units of the own zone's servers: their weights are then absolute, whatever happens elsewhere.
+        let lean = if self.alone() { 1.0 } else { LEAN };
         let own = can.get(&zone).map_or(0.0, |can| can.max(0.01));
         let part = |other: &ZoneId, can: f64| {
             let away = (1.0 - stays) * spare(other) / all_spare.max(1e-6);
@@ -533,8 +536,8 @@
         can.iter().map(|(other, can)| (*other, part(other, *can))).collect()
     }
 
-    /// The demand, as a multiple of what the fleet can do, that a cold server's part must bear. And whether
-    /// cold ones stay out: proxies that avoid failing servers send all to a cold one, once the others fail.
+    /// The demand, in fleets, that a cold server's part must bear. And whether cold ones stay out: proxies
+    /// that avoid failing servers send all to a cold one, once the others fail.
     fn cold_demand(&self) -> (f64, bool) {
         let seen = self.open().flat_map(|(_, s)| s.heard.values().map(|e| (e.failed.weight, e.cost.weight)));
         let (tries, good) = seen.fold((0.0, 0.0), |sum, seen| (sum.0 + seen.0, sum.1 + seen.1));
@@ -551,11 +554,10 @@
         let sum = |lines: &Lines| -> f64 {
             lines.iter().filter(|(id, _)| of(id).0 >= 1.0).map(|(_, weight)| weight).sum()
         };
-        if sum(lines) <= 0.0 {
-            // Nobody without a server: warm ones, though withdrawn, are picked before cold ones alone.
-            for (id, weight) in lines.iter_mut().filter(|(id, _)| of(id).0 >= 1.0) {
-                *weight = LEAST_SHARE * of(id).1;
-            }
+        // Nobody without a server: warm ones, though withdrawn, are picked before cold ones alone.
+        let none = sum(lines) <= 0.0;
+        for (id, weight) in lines.iter_mut().filter(|(id, _)| none && of(id).0 >= 1.0) {
+            *weight = LEAST_SHARE * of(id).1;
         }
         let warm = sum(lines);
         // Cold servers alone: nobody is sent to them until they can surely bear the work of all ever known.
@@ -583,7 +585,7 @@
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
         // A queue is told only once all slots are in work, when every answer is late already: the time of
         // probes shows how many share a core, and those that time out what waits beyond full cores.
-        let shared = self.fleet_median(|server| server.speed.service.mean().and(slowed(server)));
+        let shared = self.median(None, |server| server.speed.service.mean().and(slowed(server)));
         let shared = full(shared.unwrap_or(1.0), BUSY_STRETCH);
         let failing = quantile(zones.values().map(failing), 0.5).unwrap_or(0.0);
         let term = if told > 0.0 { (busy / told).max(shared).max(mute) } else { failing };
@@ -644,7 +646,7 @@
             self.bind_joined(&mut orders);
         }
         if !orders.lines.is_empty() {
-            let mark = self.next_mark();
+            let mark = (self.channel.mark + 1) % u16::MAX;
             orders.actions.push(Action::Mark { mark, everyone: false });
             for (id, lines) in &mut orders.lines {
                 *lines += self.settings.message_head + 1.0;
@@ -657,8 +659,8 @@
 
     /// Deals the fleet into parts, each with its own tables, where naming all would leave a usual proxy
     /// without open connections to most, or servers without room for all. Danger: each request pays for a
-    /// connection, each change for a line at every proxy. Parts are far narrower while tries fail though
-    /// servers idle.
+    /// connection, each change for a line at every proxy. Far narrower parts while tries fail though servers
+    /// idle.
     fn split(&mut self, now: Micros) {
         let (joined, servers) = (self.proxies.len() as f64, self.open().count() as f64);
         let usual = self.settings.proxies as f64 / (2 * self.settings.instances.max(1)) as f64;
@@ -687,10 +689,6 @@
         }
     }
 
-    fn next_mark(&self) -> u16 {
-        (self.channel.mark + 1) % u16::MAX
-    }
-
     /// Share of the message limit in use at the fullest of these proxies, this turn's message counted.
     fn messages_used<'a>(&self, proxies: impl Iterator<Item = &'a ProxyId>) -> f64 {
         let written = proxies.filter_map(|id| Some(self.proxies.get(id)?.written.len() + 1)).max();
@@ -721,11 +719,15 @@
 
     fn table_lines(&mut self, now: Micros, orders: &mut Orders) {
         let (mut changes, mut tables, whole) = (Vec::new(), BTreeMap::new(), Zones::new());
-        let (levels, cold) = (self.class_levels(), self.cold_demand());
+        let (levels, (demand, out)) = (self.class_levels(), self.cold_demand());
+        let comes = shares(self.proxies.values().map(|proxy| (proxy.zone, proxy.rate())));
         let lean = |zone: ZoneId| (zone, self.lean(zone));
         let lean: BTreeMap<ZoneId, Zones> = self.zones().map(lean).collect();
         for scheme in self.schemes.clone() {
             let lean = scheme.zone.and_then(|zone| lean.get(&zone)).unwrap_or(&whole);
+            // A cold server that only its own zone's tables name meets no more than that zone's traffic.
+            let traffic = scheme.zone.filter(|_| self.alone()).and_then(|zone| comes.get(&zone).copied());
+            let cold = (demand * traffic.unwrap_or(1.0).max(0.5 / comes.len().max(1) as f64), out);
             let serves = |p: &Proxy| p.bound && scheme.serves(p.zone, p.part);
             let users = self.proxies.iter().filter(|(_, proxy)| serves(proxy));
             let users: Vec<ProxyId> = users.map(|(id, _)| *id).collect();
@@ -755,8 +757,7 @@
         for Change { scheme: Scheme { table, .. }, server, weight, guard, .. } in changes {
             let Some((users, used)) = tables.get(&table) else { continue };
             if !users.is_empty() {
-                // A change that rides on a message already due costs no message: else refusals and guards
-                // under load would use up the limit, and restored servers would wait for their weight.
+                // What rides on a message already due costs none: else refusals and guards use up the limit.
                 let rides = users.iter().all(|user| orders.lines.contains_key(user));
                 let head = if rides { 0.0 } else { self.settings.message_head + 1.0 };
                 let cost = users.len() as f64 * (1.0 + head);
@@ -788,8 +789,8 @@
             let cold = known.is_some_and(|server| server.warmth < 1.0) && weight < old;
             let guard = cold || sent.is_empty();
             if (weight - old).abs() > RESEND_SHARE * old {
-                // Largest first: traffic moved for each line that it costs. A server shut out moves none, one
-                // not named yet counts whole: else a grown fleet idles.
+                // Traffic moved for each line it costs; one not named yet counts whole: else a grown fleet
+                // idles.
                 let used = known.is_some_and(Server::open);
                 let home = |server: &&Server| scheme.zone.is_none_or(|zone| zone == server.entry.zone);
                 let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size);
@@ -849,7 +850,7 @@
     /// Tables of slices in charge: a line stays while its server is usable, since it knows the slice's keys.
     fn slice_lines(&mut self, now: Micros, orders: &mut Orders) {
         let usable = self.target(Scheme::default(), &Zones::new(), self.cold_demand());
-        let mark = self.next_mark();
+        let mark = (self.channel.mark + 1) % u16::MAX;
         let proxies: BTreeSet<ProxyId> = self.proxies.keys().copied().collect();
         for (id, slice) in &mut self.slices {
             let table = self.tables.entry(*id).or_default();
@@ -924,9 +925,8 @@
     Some(server.speed.probes.mean()? / server.probes_now.mean()?)
 }
 
-/// By what proxies met at a server: the share of failed tries beyond its zones' fleet, failed probes counted
-/// as tries, less its standard error, since few say little; and the mean time of good answers against the
-/// median. Failures of a saturated server count less. Danger: a withdrawal saturates the next one.
+/// What proxies met at a server: the share of failed tries beyond the usual, less its standard error, and the
+/// time of good answers against the usual. A saturated server's failures count less: the next would fill.
 fn met(server: &Server, zones: &References, probes_count: bool) -> (f64, f64) {
     let probed = if probes_count { server.probing.failed } else { 0.0 };
     let (mut tries, mut failed, mut good, mut took) =
