--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -86,7 +86,7 @@
 /// Share of a server's connections that the proxies of its tables may need.
 const CONNECTIONS_SHARE: f64 = 0.5;
 /// A proxy moves to another part once its own bears so many times what the other would with it.
-const REDEAL: f64 = 2.0;
+const REDEAL: f64 = 1.3;
 /// Median share of failed tries at idle servers from which tables are narrowed, and for how long after.
 const NARROW_FROM: (f64, Micros) = (0.3, Micros(30_000_000));
 /// To so many proxies, and at least so many servers, each.
