--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -488,7 +488,7 @@
     fn target(&self, scheme: Scheme, lean: &Zones, cold: (f64, bool)) -> Lines {
         let Scheme { zone, home_only, part, .. } = scheme;
         let home = |server: &Server| !home_only || zone == Some(server.entry.zone);
-        let of_part = |server: &&Server| server.dealt % self.parts.max(1) == part;
+        let of_part = |server: &&Server| part == self.parts || server.dealt % self.parts == part;
         // Nobody without a server: a part that lost all its warm ones borrows those of the other parts.
         let bare = !self.open().any(|(_, server)| home(server) && of_part(&server) && server.warmth >= 1.0);
         let within = |server: &Server| home(server) && (bare || of_part(&server));
@@ -814,6 +814,8 @@
         for proxy in self.proxies.values().filter(|proxy| proxy.bound) {
             room.entry((set(proxy.zone), proxy.part)).or_default().1 += proxy.rate();
         }
+        let brings = shares(self.proxies.values().map(|proxy| (set(proxy.zone), proxy.rate())));
+        let all = self.proxies.values().map(Proxy::rate).sum::<f64>();
         let shut = |id: &&ServerId| self.servers.get(id).is_some_and(|server| server.shut);
         let size = |t: &Table| 1 + t.lines.len() + t.levels.len() + t.lines.keys().filter(shut).count();
         let head = self.settings.message_head + 1.0;
@@ -826,6 +828,10 @@
             let parts = room.range((zone, 0)..=(zone, usize::MAX));
             let freest = parts.min_by(|a, b| loaded(a.1, rate).total_cmp(&loaded(b.1, rate)));
             let (part, freest) = freest.map_or((0, 0.0), |((_, part), room)| (*part, loaded(room, rate)));
+            // One that brings more than a part can bear gets all parts. Danger: its part's servers jam for good.
+            let most = if proxy.part == self.parts { 0.5 } else { 1.0 } * brings.get(&zone).unwrap_or(&1.0);
+            let heavy = self.parts == self.usual_parts && rate * self.parts as f64 > most * all;
+            let (part, freest) = if heavy { (self.parts, 0.0) } else { (part, freest) };
             let own = room.entry((zone, proxy.part)).or_default();
             if proxy.bound && (part == proxy.part || loaded(own, 0.0) < REDEAL * freest) {
                 continue;
@@ -897,7 +903,9 @@
     let zones = (0..settings.zones.max(1) as u16).map(|zone| Some(ZoneId(zone)));
     let tables = zones.flat_map(|zone| [(zone, false), (zone, true)]);
     let tables = tables.filter(|(_, home_only)| set(*home_only) != ClassSet::default());
-    let tables = tables.flat_map(|(zone, home_only)| (0..parts).map(move |part| (zone, home_only, part)));
+    let tables = tables.flat_map(|(zone, home_only)| {
+        (0..parts + usize::from(parts > 1)).map(move |part| (zone, home_only, part))
+    });
     let tables = (first..u16::MAX).map(TableId).zip(tables);
     let scheme =
         |(table, (zone, home_only, part))| Scheme { table, zone, home_only, part, classes: set(home_only) };
