--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -594,8 +594,7 @@
         admission.refused = refused;
     }
 
-    /// Each class's level: what must be refused falls on the least worth for its time first. Where levels
-    /// are rates, a class's is what is let in of the demand at the busiest proxy: tables are shared.
+    /// Each class's level: the least worth for its time goes first; rates follow the busiest proxy's demand.
     fn class_levels(&self) -> Vec<f64> {
         let classes = &self.settings.classes;
         let rates = self.settings.levels == LevelKind::PerSecond;
@@ -771,12 +770,16 @@
     fn changes(&self, scheme: Scheme, target: &Lines, rate: f64, changes: &mut Vec<Change>) {
         let sent = self.tables.get(&scheme.table).map(|table| table.lines.clone()).unwrap_or_default();
         let total = target.values().sum::<f64>().max(f64::MIN_POSITIVE);
+        // Only parts of a table count: what moves all alike would fill the channel and change nothing.
+        let warm = |id: &ServerId| self.servers.get(id).is_some_and(|server| server.warmth >= 1.0);
+        let moved = target.iter().filter(|(id, weight)| **weight > 0.0 && warm(id));
+        let scale =
+            quantile(moved.filter_map(|(id, weight)| Some(sent.get(id)? / weight)), 0.5).unwrap_or(1.0);
         for server in sent.keys().chain(target.keys()).copied().collect::<BTreeSet<ServerId>>() {
             let old = sent.get(&server).copied().unwrap_or(0.0);
-            let weight = target.get(&server).copied().unwrap_or(0.0);
+            let weight = target.get(&server).copied().unwrap_or(0.0) * scale;
             let known = self.servers.get(&server);
-            // The rules' lines do not wait for room: an empty table's, and what a cold server loses. All else
-            // goes by size, or failing servers crowd out those that recovered and the fleet in use shrinks.
+            // Only the rules' lines have precedence: else failing servers crowd out those that recovered.
             let cold = known.is_some_and(|server| server.warmth < 1.0) && weight < old;
             let guard = cold || sent.is_empty();
             if (weight - old).abs() > RESEND_SHARE * old {
@@ -784,9 +787,9 @@
                 // idles.
                 let used = known.is_some_and(Server::open);
                 let home = |server: &&Server| scheme.zone.is_none_or(|zone| zone == server.entry.zone);
-                let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size);
+                let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size) * scale;
                 let moved = (weight - old).abs().max(whole);
-                let size = if used { rate * moved / total } else { 0.0 };
+                let size = if used { rate * moved / (total * scale) } else { 0.0 };
                 changes.push(Change { scheme, server, weight, guard, size });
             }
         }
