--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -135,7 +135,6 @@
     fn probed(&mut self, end: ProbeEnd, took: Micros, way: f64) {
         if end == ProbeEnd::Done {
             let speed = 1.0 / (took.secs() - way).max(took.secs() / 4.0).max(1e-6);
-            // Where probes wait like requests the quick ones tell the speed.
             self.speed.probes.add(speed.powi(QUICK + 1), speed.powi(QUICK));
             self.probes_now.add(speed, 1.0);
             self.quickest = if self.quickest > 0.0 { self.quickest.min(took.secs()) } else { took.secs() };
@@ -620,8 +619,7 @@
     // ---- Rule guards and pacing ----
 
     fn publish(&mut self, now: Micros, out: &mut Vec<Action>) {
-        // Short queue: what no proxy confirmed yet counts as waiting. Danger: on some days the channel runs
-        // far slower than stated. After a silence beyond any way and stall nothing waits.
+        // Short queue: what is not confirmed waits, however slow the channel; after long silence none does.
         self.channel.forget(now - self.settings.way_most - self.settings.way_most - CHANNEL_SILENT);
         let past = now - self.settings.messages_window;
         self.proxies.values_mut().for_each(|proxy| proxy.written.retain(|at| *at >= past));
