--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -216,8 +216,7 @@
             out.push(Action::Timer { id: TICK_TIMER, after: TICK });
             self.tick(now, &mut out);
         }
-        // Probe answers and tallies wait for the tick. Danger: work for each makes a large fleet's requests
-        // late.
+        // Probe answers and tallies wait for the tick. Danger: work for each makes a large fleet late.
         let news = |e: &Event| matches!(e, Event::Members(..) | Event::Joined { .. } | Event::Tenure { .. });
         let freed =
             |e: &Event| self.settings.sole_owner && matches!(e, Event::Receipt { .. } | Event::Left(_));
@@ -819,11 +818,12 @@
             let loaded = |(weight, comes): &(f64, f64), more: f64| (comes + more) / weight.max(1e-6);
             let parts = room.range((zone, 0)..=(zone, usize::MAX));
             let freest = parts.min_by(|a, b| loaded(a.1, rate).total_cmp(&loaded(b.1, rate)));
-            let (part, freest) = freest.map_or((0, 0.0), |((_, part), room)| (*part, loaded(room, rate)));
+            let part = freest.map_or((0, 0.0), |((_, part), room)| (*part, loaded(room, rate)));
             // One that brings more than a part can bear gets all parts, or its part's servers jam for good.
             let most = if proxy.part == self.parts { 0.5 } else { 1.0 } * brings.get(&zone).unwrap_or(&1.0);
-            let heavy = self.parts == self.usual_parts && rate * self.parts as f64 > most * all;
-            let (part, freest) = if heavy { (self.parts, 0.0) } else { (part, freest) };
+            let split = self.parts > 1 && self.parts == self.usual_parts;
+            let heavy = split && rate * self.parts as f64 > most * all;
+            let (part, freest) = if heavy { (self.parts, 0.0) } else { part };
             let own = room.entry((zone, proxy.part)).or_default();
             if proxy.bound && (part == proxy.part || loaded(own, 0.0) < REDEAL * freest) {
                 continue;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -140,8 +140,8 @@
     pub levels: BTreeMap<usize, f64>,
 }
 
-/// Which table serves whom: one for all proxies, or one for those of a zone; with that zone's servers only,
-/// for classes that stay at home.
+/// Which table serves whom: the proxies of a zone, or all, that are on a part of the fleet; with that zone's
+/// servers only, for classes that stay at home.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Scheme {
     pub table: TableId,
--- a/crates/policy/tests/size.rs
+++ b/crates/policy/tests/size.rs
@@ -291,6 +291,22 @@
     assert!(site.named(8).len() <= 100, "{} of 200", site.named(8).len());
 }
 
+/// Found on rereading: by rounding, the only proxy of a zone could count as more than all of a whole fleet's traffic, and
+/// was bound to a table that does not exist.
+#[test]
+fn the_only_proxy_of_a_zone_is_bound_whatever_its_rate() {
+    for tenths in 1..60 {
+        let lean = Settings { instances: 1, cross_price: 0.05, proxies: 3, ..settings() };
+        let mut site = Site::new(lean, 1.0);
+        let rate = f64::from(tenths) * 0.1;
+        let mut events = vec![Event::Members(ListKind::WarmCopy, (0..12).map(entry).collect())];
+        events.extend([rated(0, rate), rated(1, 0.7), rated(3, rate * 0.3)]);
+        site.send(&events);
+        site.run(1, &[], &all_answer);
+        assert!((0..4).filter(|id| *id != 2).all(|id| !site.named(id).is_empty()), "rate {rate}");
+    }
+}
+
 /// Found on a day drawn to test the rules: all servers of a part were drained or lost while those of others stood.
 #[test]
 fn a_part_that_lost_all_its_servers_borrows_or_its_proxies_move() {
