--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -89,8 +89,8 @@
 const NARROW_FROM: (f64, Micros) = (0.3, Micros(30_000_000));
 /// To so many proxies, and at least so many servers, each.
 const NARROW_TO: (f64, f64) = (2.0, 5.0);
-/// Share of the backlog that ordinary updates, and guards, may fill; the rest is for joins and drains.
-const BACKLOG: (f64, f64) = (0.5, 0.9);
+/// Share of the backlog that ordinary updates, and guards and joins, may fill: a zone may drain at once.
+const BACKLOG: (f64, f64) = (0.5, 0.65);
 /// Share of the message limit that ordinary updates, and guards, may use; the rest is for drains.
 const MESSAGES: (f64, f64) = (0.6, 0.8);
 /// Least time between ordinary updates, and before a failed subscription is tried again.
