--- a/crates/policy/tests/size.rs
+++ b/crates/policy/tests/size.rs
@@ -400,6 +400,31 @@
     assert!(world.weight(5) >= 3.0, "full by its own word: {}", world.weight(5));
 }
 
+/// Seen on days of a slow link: a zone's servers that its own proxies reached well lost their weight for all.
+#[test]
+fn servers_that_one_zone_reaches_badly_keep_their_weight_elsewhere() {
+    let mut world = World::new(settings(), 24, 6);
+    let met = |from: u16, slow: bool| -> Vec<Event> {
+        let tally = move |id: u32| {
+            let far = slow && u32::from(from) != id % 2;
+            let (failed, mean_ms) = if far { (4.0, 900.0) } else { (0.0, 200.0) };
+            let (zone, server, load) = (ZoneId(from), ServerId(id), Load::default());
+            Event::Heard { zone, server, tries: 8.0, failed, mean_ms, period: ms(1000), load }
+        };
+        (0..24).map(tally).collect()
+    };
+    let both = |slow: bool| -> Vec<Event> { [met(0, slow), met(1, false)].concat() };
+    world.run(5, &both(false));
+    world.run(12, &both(true));
+    let share = |table: u16, zone: u32| -> f64 {
+        let lines = &world.tables[&TableId(table)];
+        let of_zone = lines.iter().filter(|(id, _)| id.0 % 2 == zone).map(|(_, weight)| weight).sum::<f64>();
+        of_zone / lines.values().sum::<f64>()
+    };
+    assert!(share(0, 1) < 0.2, "zone 0 sends little over the slow way: {}", share(0, 1));
+    assert!(share(1, 1) > 0.4, "zone 1 keeps to its own servers: {}", share(1, 1));
+}
+
 #[test]
 fn odd_lists_and_events_of_the_unknown_are_borne() {
     let mut site = Site::started(sparse(), 1.0, 100, 200);
