Reread: views of zones taken once, the queue's sum derived, tables always a zone's

What a zone sees of another, the fleet's shares and the waiting lines were worked out several times a turn or kept beside what they follow from; a table for no zone in particular could no longer arise.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -233,12 +233,12 @@
 
     /// The median of what open servers show: of a zone's, if enough do, else of the fleet's.
     fn median(&self, zone: Option<ZoneId>, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
-        let near = |server: &Server| zone.is_none_or(|zone| zone == server.entry.zone);
-        let shown = |near: &dyn Fn(&Server) -> bool| -> Vec<f64> {
-            self.open().filter(|(_, server)| near(server)).filter_map(|(_, server)| of(server)).collect()
+        let shown = |zone: Option<ZoneId>| -> Vec<f64> {
+            let near = self.open().filter(|(_, s)| zone.is_none_or(|zone| zone == s.entry.zone));
+            near.filter_map(|(_, server)| of(server)).collect()
         };
-        let seen = Some(shown(&near)).filter(|seen| seen.len() >= LINK_LEAST);
-        quantile(seen.unwrap_or_else(|| shown(&|_| true)).into_iter(), 0.5)
+        let near = zone.map(|zone| shown(Some(zone))).filter(|near| near.len() >= LINK_LEAST);
+        quantile(near.unwrap_or_else(|| shown(None)).into_iter(), 0.5)
     }
 
     // ---- Registry view and evidence ----
@@ -292,8 +292,8 @@
             }
             Event::Tenure { table, given } => {
                 self.tables.insert(*table, Table::default());
-                self.slices.insert(*table, None);
-                self.slices.retain(|slice, _| *given || slice != table);
+                self.slices.remove(table);
+                self.slices.extend(given.then_some((*table, None)));
             }
             Event::Held { table, server, weight } => {
                 self.tables.entry(*table).or_default().lines.insert(*server, *weight);
@@ -381,26 +381,28 @@
     fn references(&mut self) -> References {
         let seen = |f: Fading| (f.weight >= 1.0).then(|| f.sum / f.weight);
         let of = |from: ZoneId, f: fn(&Evidence) -> Fading| move |s: &Server| seen(f(s.heard.get(&from)?));
-        let near = |from, to| {
-            Some((
-                self.median(Some(to), of(from, |e| e.failed))?,
-                self.median(Some(to), of(from, |e| e.cost))?,
-            ))
+        let view =
+            |from, to| (self.median(to, of(from, |e| e.failed)), self.median(to, of(from, |e| e.cost)));
+        let near = |(from, to)| {
+            let (failed, took) = view(from, Some(to));
+            ((from, to), failed.zip(took))
         };
         let heard: BTreeSet<ZoneId> = self.open().flat_map(|(_, s)| s.heard.keys().copied()).collect();
-        let (mut usual, mut links) = (References::new(), self.links.clone());
-        for (from, to) in heard.iter().flat_map(|from| self.zones().map(move |to| (*from, to))) {
-            let all = |f: fn(&Evidence) -> Fading| self.median(None, of(from, f)).unwrap_or(0.0);
-            let all = (all(|e| e.failed), all(|e| e.cost));
-            let seen = near(from, to).unwrap_or(all);
-            let there = if heard.contains(&to) { near(to, to) } else { near(from, from) }.unwrap_or(all);
-            let error = 1.0 - clamp01((seen.0 - there.0) / ERROR_BUDGET);
-            let latency = 1.0 - clamp01(seen.1 / there.1.max(1.0) / LATENCY_BUDGET);
-            let score = links.entry((from, to)).or_insert(1.0);
+        let pairs = heard.iter().flat_map(|from| self.zones().map(move |to| (*from, to)));
+        let seen: BTreeMap<_, _> = pairs.map(near).collect();
+        let fleet: BTreeMap<_, _> = heard.iter().map(|from| (*from, view(*from, None))).collect();
+        let mut usual = References::new();
+        for ((from, to), met) in seen.iter() {
+            let (failed, took) = fleet.get(from).copied().unwrap_or_default();
+            let all = (failed.unwrap_or(0.0), took.unwrap_or(0.0));
+            let there = seen.get(&(*to, *to)).or_else(|| seen.get(&(*from, *from))).copied().flatten();
+            let (met, there) = (met.unwrap_or(all), there.unwrap_or(all));
+            let error = 1.0 - clamp01((met.0 - there.0) / ERROR_BUDGET);
+            let latency = 1.0 - clamp01(met.1 / there.1.max(1.0) / LATENCY_BUDGET);
+            let score = self.links.entry((*from, *to)).or_insert(1.0);
             *score = smooth(*score, error.min(latency));
-            usual.insert((from, to), if *score < RESTORE_ABOVE { seen } else { all });
+            usual.insert((*from, *to), if *score < RESTORE_ABOVE { met } else { all });
         }
-        self.links = links;
         usual
     }
 
@@ -481,13 +483,13 @@
     /// The lines a table should have.
     fn target(&self, scheme: Scheme, lean: &Zones, cold: (f64, bool)) -> Lines {
         let Scheme { zone, home_only, part, .. } = scheme;
-        let home = |server: &Server| !home_only || zone == Some(server.entry.zone);
+        let home = |server: &Server| !home_only || zone == server.entry.zone;
         let of_part = |server: &&Server| part == self.parts || server.dealt % self.parts == part;
         // Nobody without a server: a part that lost all its warm ones borrows those of the other parts.
         let bare = !self.open().any(|(_, server)| home(server) && of_part(&server) && server.warmth >= 1.0);
         let within = |server: &Server| home(server) && (bare || of_part(&server));
         let lean = |server: &Server| match lean.get(&server.entry.zone).filter(|_| !home_only) {
-            Some(_) if self.alone() && server.warmth < 1.0 && zone != Some(server.entry.zone) => 0.0,
+            Some(_) if self.alone() && server.warmth < 1.0 && zone != server.entry.zone => 0.0,
             lean => lean.copied().unwrap_or(1.0),
         };
         let here = self.open().filter(|(_, server)| within(server));
@@ -505,17 +507,14 @@
     /// By zone of the servers: the factor on their weights in a zone's table, by the way there. Where it
     /// leans, what the zone's own can do stays at home, the rest goes where others have more than comes to
     /// them.
-    fn lean(&self, zone: ZoneId) -> Zones {
+    fn lean(&self, zone: ZoneId, can: &Zones, comes: &Zones) -> Zones {
         let link = |to: ZoneId| {
             let score = self.links.get(&(zone, to)).map_or(1.0, |score| score / RESTORE_ABOVE);
-            (to, score.clamp(LEAST_SHARE * LEAST_SHARE, 1.0))
+            score.clamp(LEAST_SHARE * LEAST_SHARE, 1.0)
         };
-        let links = self.zones().map(link).collect::<Zones>();
         if !leans(&self.settings) {
-            return links;
+            return self.zones().map(|to| (to, link(to))).collect();
         }
-        let can = shares(self.open().map(|(_, server)| (server.entry.zone, server.weight)));
-        let comes = shares(self.proxies.values().map(|proxy| (proxy.zone, proxy.rate())));
         let comes = |zone: &ZoneId| comes.get(zone).copied().unwrap_or(0.0);
         let stays = can.get(&zone).map_or(0.0, |can| can / comes(&zone).max(1e-6)).min(1.0);
         let spare = |zone: &ZoneId| can.get(zone).map_or(0.0, |can| (can - comes(zone)).max(0.0));
@@ -525,7 +524,7 @@
         let part = |other: &ZoneId, can: f64| {
             let away = (1.0 - stays) * spare(other) / all_spare.max(1e-6);
             let leaning = if *other == zone { stays } else { away * own / can.max(1e-6) };
-            (lean * leaning + (1.0 - lean) * own) * links.get(other).unwrap_or(&1.0)
+            (lean * leaning + (1.0 - lean) * own) * link(*other)
         };
         can.iter().map(|(other, can)| (*other, part(other, *can))).collect()
     }
@@ -636,7 +635,7 @@
             self.bind_joined(&mut orders);
         }
         if !orders.lines.is_empty() {
-            let mark = (self.channel.mark + 1) % u16::MAX;
+            let mark = self.channel.next_mark();
             orders.actions.push(Action::Mark { mark, everyone: false });
             for (id, lines) in &mut orders.lines {
                 *lines += self.settings.message_head + 1.0;
@@ -708,12 +707,13 @@
         let (mut changes, mut tables, whole) = (Vec::new(), BTreeMap::new(), Zones::new());
         let (levels, (demand, out)) = (self.class_levels(), self.cold_demand());
         let comes = shares(self.proxies.values().map(|proxy| (proxy.zone, proxy.rate())));
-        let lean = |zone: ZoneId| (zone, self.lean(zone));
+        let can = shares(self.open().map(|(_, server)| (server.entry.zone, server.weight)));
+        let lean = |zone: ZoneId| (zone, self.lean(zone, &can, &comes));
         let lean: BTreeMap<ZoneId, Zones> = self.zones().map(lean).collect();
         for scheme in self.schemes.clone() {
-            let lean = scheme.zone.and_then(|zone| lean.get(&zone)).unwrap_or(&whole);
+            let lean = lean.get(&scheme.zone).unwrap_or(&whole);
             // A cold server that only its own zone's tables name meets no more than that zone's traffic.
-            let traffic = scheme.zone.filter(|_| self.alone()).and_then(|zone| comes.get(&zone).copied());
+            let traffic = comes.get(&scheme.zone).copied().filter(|_| self.alone());
             let cold = (demand * traffic.unwrap_or(1.0).max(0.5 / comes.len().max(1) as f64), out);
             let serves = |p: &Proxy| p.bound && scheme.serves(p.zone, p.part);
             let users = self.proxies.iter().filter(|(_, proxy)| serves(proxy));
@@ -740,7 +740,7 @@
         let heads = self.proxies.len() as f64 * (self.settings.message_head + 1.0);
         let every = UPDATE_EVERY.secs().max(heads / HEADS_SHARE / self.settings.lines_per_s.max(1.0));
         let due = self.updated.is_none_or(|at| (now - at).secs() >= every);
-        let mut lines = self.channel.waiting + orders.lines.values().sum::<f64>();
+        let mut lines = self.channel.waiting() + orders.lines.values().sum::<f64>();
         for Change { scheme: Scheme { table, .. }, server, weight, guard, .. } in changes {
             let Some((users, used)) = tables.get(&table) else { continue };
             if !users.is_empty() {
@@ -783,7 +783,7 @@
                 // Traffic moved for each line it costs; one not named yet counts whole: else a grown fleet
                 // idles.
                 let used = known.is_some_and(Server::open);
-                let home = |server: &&Server| scheme.zone.is_none_or(|zone| zone == server.entry.zone);
+                let home = |server: &&Server| scheme.zone == server.entry.zone;
                 let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size) * scale;
                 let moved = (weight - old).abs().max(whole);
                 let size = if used { rate * moved / (total * scale) } else { 0.0 };
@@ -810,7 +810,7 @@
         let shut = |id: &&ServerId| self.servers.get(id).is_some_and(|server| server.shut);
         let size = |t: &Table| 1 + t.lines.len() + t.levels.len() + t.lines.keys().filter(shut).count();
         let head = self.settings.message_head + 1.0;
-        let mut waiting = self.channel.waiting + orders.lines.values().map(|n| n + head).sum::<f64>();
+        let mut waiting = self.channel.waiting() + orders.lines.values().map(|n| n + head).sum::<f64>();
         let mut proxies: Vec<_> = self.proxies.iter_mut().collect();
         proxies.sort_by(|a, b| a.1.bound.cmp(&b.1.bound).then(b.1.rate().total_cmp(&a.1.rate())));
         for (id, proxy) in proxies.into_iter().filter(|_| self.parts > 0) {
@@ -848,7 +848,7 @@
     /// Tables of slices in charge: a line stays while its server is usable, since it knows the slice's keys.
     fn slice_lines(&mut self, now: Micros, orders: &mut Orders) {
         let usable = self.target(Scheme::default(), &Zones::new(), self.cold_demand());
-        let mark = (self.channel.mark + 1) % u16::MAX;
+        let mark = self.channel.next_mark();
         let proxies: BTreeSet<ProxyId> = self.proxies.keys().copied().collect();
         for (id, slice) in &mut self.slices {
             let table = self.tables.entry(*id).or_default();
@@ -892,7 +892,7 @@
         let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
         classes.fold(ClassSet::default(), |set, (k, _)| set.with(k))
     };
-    let zones = (0..settings.zones.max(1) as u16).map(|zone| Some(ZoneId(zone)));
+    let zones = (0..settings.zones.max(1) as u16).map(ZoneId);
     let tables = zones.flat_map(|zone| [(zone, false), (zone, true)]);
     let tables = tables.filter(|(_, home_only)| set(*home_only) != ClassSet::default());
     let tables = tables.flat_map(|(zone, home_only)| {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -140,12 +140,12 @@
     pub levels: BTreeMap<usize, f64>,
 }
 
-/// Which table serves whom: the proxies of a zone, or all, that are on a part of the fleet; with that zone's
-/// servers only, for classes that stay at home.
+/// Which table serves whom: the proxies of a zone that are on a part of the fleet; with that zone's servers
+/// only, for classes that stay at home.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Scheme {
     pub table: TableId,
-    pub zone: Option<ZoneId>,
+    pub zone: ZoneId,
     pub home_only: bool,
     pub part: usize,
     pub classes: ClassSet,
@@ -153,33 +153,35 @@
 
 impl Scheme {
     pub fn serves(&self, zone: ZoneId, part: usize) -> bool {
-        self.part == part && self.zone.is_none_or(|own| own == zone)
+        self.part == part && self.zone == zone
     }
 }
 
 /// What was written to the channel and not confirmed yet: in the order written, a turn's mark and lines by
-/// proxy; and their sum.
+/// proxy.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Channel {
     pub turns: VecDeque<(Micros, u16, BTreeMap<ProxyId, f64>)>,
-    pub waiting: f64,
     pub mark: u16,
     pub confirmed: Micros,
 }
 
 impl Channel {
+    pub fn next_mark(&self) -> u16 {
+        (self.mark + 1) % u16::MAX
+    }
     pub fn send(&mut self, now: Micros, mark: u16, lines: BTreeMap<ProxyId, f64>) {
         self.mark = mark;
         self.turns.push_back((now, mark, lines));
-        self.count();
     }
     /// Messages leave in order: one that arrived tells that all of earlier turns have left.
     pub fn confirmed(&mut self, now: Micros, proxy: ProxyId, mark: u16) {
         self.confirmed = now;
         if let Some(turn) = self.turns.iter().position(|(_, sent, _)| *sent == mark) {
             self.turns.drain(..turn);
-            self.lost_of_first(proxy);
-            self.count();
+            if let Some((_, _, lines)) = self.turns.front_mut() {
+                lines.remove(&proxy);
+            }
         }
     }
     /// What waits for a proxy whose stream broke is lost.
@@ -187,20 +189,12 @@
         for (_, _, lines) in &mut self.turns {
             lines.remove(&proxy);
         }
-        self.count();
     }
     pub fn forget(&mut self, before: Micros) {
-        self.turns.retain(|(at, _, _)| (*at).max(self.confirmed) >= before);
-        self.count();
-    }
-    fn lost_of_first(&mut self, proxy: ProxyId) {
-        if let Some((_, _, lines)) = self.turns.front_mut() {
-            lines.remove(&proxy);
-        }
+        self.turns.retain(|(at, _, lines)| !lines.is_empty() && (*at).max(self.confirmed) >= before);
     }
-    fn count(&mut self) {
-        self.turns.retain(|(_, _, lines)| !lines.is_empty());
-        self.waiting = self.turns.iter().flat_map(|(_, _, lines)| lines.values()).sum();
+    pub fn waiting(&self) -> f64 {
+        self.turns.iter().flat_map(|(_, _, lines)| lines.values()).sum()
     }
 }
 
