--- a/crates/supervisor/src/config.rs
+++ b/crates/supervisor/src/config.rs
@@ -1,4 +1,7 @@
-//! What the supervisor is told at its start: the environment and the configuration file.
+//! What the supervisor is told: the environment and the configuration file, at its start and when the file is replaced.
+//!
+//! At the start the environment comes before the file. At a reload the environment still says what it said at the start,
+//! so what the file changed since it was last read comes first, and what it did not change stays as it is.
 
 use std::net::SocketAddr;
 
@@ -35,7 +38,7 @@
     Slices,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
 struct File {
     name: Option<String>,
@@ -48,7 +51,7 @@
 }
 
 /// What the machine allows.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct Limits {
     /// File descriptors, all processes together.
@@ -86,25 +89,80 @@
     pub connect_ms: f64,
 }
 
+/// The configuration file, and what it said when it was last read.
+#[derive(Debug)]
+pub struct Source {
+    path: String,
+    said: File,
+    discovery: SocketAddr,
+}
+
+/// What a reload brings.
+#[derive(Debug, PartialEq)]
+pub struct Reloaded {
+    /// Where discovery answers from now on.
+    pub discovery: SocketAddr,
+    /// Keys that the file changed and that take effect at the next start only.
+    pub later: Vec<&'static str>,
+}
+
 /// Reads the configuration that the environment points to.
-pub fn from_env() -> Result<Config, Fault> {
+pub fn from_env() -> Result<(Config, Source), Fault> {
     let var = |key: &str| std::env::var(key).ok().filter(|value| !value.is_empty());
     let path = var("LB_CONFIG").ok_or(Fault::Missing("LB_CONFIG"))?;
-    let text = std::fs::read(&path).map_err(|fault| Fault::File(path, fault))?;
-    read(&text, var)
+    let text = std::fs::read(&path).map_err(|fault| Fault::File(path.clone(), fault))?;
+    let said: File = serde_json::from_slice(&text)?;
+    let config = read(said.clone(), var)?;
+    let discovery = config.discovery;
+    Ok((config, Source { path, said, discovery }))
 }
 
-/// Reads a configuration; the environment, where it tells the same, comes first.
-fn read(text: &[u8], var: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
-    let file: File = serde_json::from_slice(text)?;
-    let address = |key: &'static str, given: Option<String>| {
-        let text = var(key).or(given).ok_or(Fault::Missing(key))?;
-        text.parse().map_err(|_| Fault::Address(key, text))
-    };
+impl Source {
+    /// Reads the file anew; on a fault nothing changes. The list that it holds as known is older than what discovery has
+    /// told, and the seed is for a start: neither is looked at.
+    pub fn reload(&mut self) -> Result<Reloaded, Fault> {
+        let text = std::fs::read(&self.path).map_err(|fault| Fault::File(self.path.clone(), fault))?;
+        self.take(serde_json::from_slice(&text)?)
+    }
+
+    fn take(&mut self, now: File) -> Result<Reloaded, Fault> {
+        settings(&now)?;
+        let given = now.discovery.clone().ok_or(Fault::Missing("LB_DISCOVERY"))?;
+        let address = parse("LB_DISCOVERY", given)?;
+        let before = &self.said;
+        if now.discovery != before.discovery {
+            self.discovery = address;
+        }
+        let kept = [
+            ("name", now.name != before.name),
+            ("listen", now.listen != before.listen),
+            ("limits", now.limits != before.limits),
+            ("settings", now.settings != before.settings),
+        ];
+        let later = kept.into_iter().filter_map(|(key, changed)| changed.then_some(key)).collect();
+        // Keys that wait for a start are told of at each reload until then.
+        self.said.discovery = now.discovery;
+        Ok(Reloaded { discovery: self.discovery, later })
+    }
+}
+
+fn settings(file: &File) -> Result<Settings, Fault> {
     let settings = chutegrade_settings::from_json(&file.settings)?;
     if settings.slices > 0 {
         return Err(Fault::Slices);
     }
+    Ok(settings)
+}
+
+fn parse(key: &'static str, text: String) -> Result<SocketAddr, Fault> {
+    text.parse().map_err(|_| Fault::Address(key, text))
+}
+
+/// Reads a configuration; the environment, where it tells the same, comes first.
+fn read(file: File, var: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    let address =
+        |key: &'static str, given: Option<String>| parse(key, var(key).or(given).ok_or(Fault::Missing(key))?);
+    let settings = settings(&file)?;
     Ok(Config {
         name: var("LB_NAME").or(file.name).unwrap_or_default(),
         listen: address("LB_LISTEN", file.listen)?,
@@ -151,6 +209,14 @@
         "settings":{"zones":["a","b"],"kinds":["m"],"classes":[{"name":"lookup"}],"tickMs":4.0,
                     "limits":{"connectTimeoutMs":250.0}}}"#;
 
+    fn read(text: &[u8], var: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+        super::read(serde_json::from_slice(text)?, var)
+    }
+
+    fn file(text: &str) -> File {
+        serde_json::from_str(text).expect("a file")
+    }
+
     fn none(_: &str) -> Option<String> {
         None
     }
@@ -196,4 +262,41 @@
         let text = WHOLE.replace("\"index\":41", "\"index\":\"x\"");
         assert!(read(text.as_bytes(), none).expect("a configuration").known.is_none());
     }
+
+    /// Danger: the environment names the address of the start for good; a supervisor that believes it after a reload asks
+    /// an agent that is gone.
+    #[test]
+    fn what_the_file_changed_comes_before_the_environment() {
+        let started: SocketAddr = "127.0.0.8:8500".parse().expect("an address");
+        let mut source = Source { path: String::new(), said: file(WHOLE), discovery: started };
+        // The file says what it said at the start: the environment's address stays.
+        assert_eq!(source.take(file(WHOLE)).expect("a file").discovery, started);
+        let moved = WHOLE.replace("127.0.0.1:8500", "127.0.0.2:8500");
+        for _ in 0..2 {
+            let reloaded = source.take(file(&moved)).expect("a file");
+            assert_eq!(
+                (reloaded.discovery.to_string().as_str(), reloaded.later.len()),
+                ("127.0.0.2:8500", 0)
+            );
+        }
+        assert_eq!(source.take(file(WHOLE)).expect("a file").discovery.to_string(), "127.0.0.1:8500");
+    }
+
+    /// Danger: a reload that takes half of a file runs on what nobody wrote.
+    #[test]
+    fn a_reload_is_taken_whole_or_not_at_all() {
+        let started: SocketAddr = "127.0.0.1:8500".parse().expect("an address");
+        let mut source = Source { path: String::new(), said: file(WHOLE), discovery: started };
+        let moved = WHOLE.replace("127.0.0.1:8500", "127.0.0.2:8500");
+        for (from, to) in [("127.0.0.2:8500", "nowhere"), ("\"settings\":{", "\"settings\":7,\"unused\":{")] {
+            assert!(source.take(file(&moved.replace(from, to))).is_err());
+        }
+        assert!(source.reload().is_err(), "there is no such file");
+        assert_eq!(source.discovery, started);
+        let more = moved.replace("\"sockets\":512", "\"sockets\":64").replace("\"n3\"", "\"n4\"");
+        for _ in 0..2 {
+            let reloaded = source.take(file(&more)).expect("a file");
+            assert_eq!(reloaded.later, ["name", "limits"], "said until the program starts anew");
+        }
+    }
 }
--- a/crates/supervisor/src/list.rs
+++ b/crates/supervisor/src/list.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use chutegrade_engine::{ListKind, ListWish, Report};
 use futures_util::TryStreamExt;
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::Response;
 use tokio::io::AsyncRead;
+use tokio::sync::watch;
 use tokio::time::timeout;
 use tokio_util::io::StreamReader;
 
@@ -29,52 +30,79 @@
 /// Waits before discovery is asked again, doubled from the first to the last.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
 
+/// A list that stays older than what is known for so long has begun to count anew: news is nowhere later than this.
+const BEHIND_MOST: Duration = Duration::from_secs(6);
+
 /// Follows the list.
 pub struct List {
     hub: Rc<Hub>,
-    address: SocketAddr,
+    /// Where discovery answers; a new configuration may name another address.
+    address: watch::Receiver<SocketAddr>,
     index: Option<u64>,
     wait: Duration,
     on_request: bool,
     failing: bool,
+    /// Discovery has moved: entries may have other addresses there, so the whole list is asked for first.
+    moved: bool,
+    /// Since when discovery tells what is older than what is known.
+    behind: Option<Instant>,
 }
 
 impl List {
     /// Follows the list from a version that is known.
-    pub fn new(hub: Rc<Hub>, address: SocketAddr, index: Option<u64>, on_request: bool) -> Self {
-        List { hub, address, index, wait: AGAIN.0, on_request, failing: false }
+    pub fn new(
+        hub: Rc<Hub>,
+        address: watch::Receiver<SocketAddr>,
+        index: Option<u64>,
+        on_request: bool,
+    ) -> Self {
+        let (wait, failing, moved, behind) = (AGAIN.0, false, false, None);
+        List { hub, address, index, wait, on_request, failing, moved, behind }
     }
 
-    /// Runs until the supervisor stops.
+    /// Runs until the supervisor stops. Once discovery has moved, whatever was under way at the old address is left at
+    /// once; the list stays as it is until the new one tells.
     pub async fn run(mut self) {
         let mut wish = self.hub.wish.subscribe();
+        let mut address = self.address.clone();
         loop {
-            let ListWish { watch, fetch } = *wish.borrow_and_update();
-            if !watch && !fetch {
-                let _ = wish.changed().await;
-                continue;
-            }
-            if fetch {
-                self.hub.take_fetch();
-            }
-            let ended = if fetch { self.fetch().await } else { self.watch(&mut wish).await };
-            let Err(reason) = ended else { continue };
-            if !std::mem::replace(&mut self.failing, true) {
-                tracing::warn!(%reason, "discovery does not tell");
+            tokio::select! {
+                () = self.turn(&mut wish) => {}
+                Ok(()) = address.changed() => {
+                    (self.wait, self.moved, self.failing) = (AGAIN.0, true, false);
+                }
             }
-            // Where calls are asked for one by one, the decisions say when to try again.
-            if self.on_request {
-                self.hub.report(Report::List(ListKind::Lost, Vec::new()));
-                let _ = wish.changed().await;
-            }
-            tokio::time::sleep(self.wait).await;
-            self.wait = (self.wait * 2).min(AGAIN.1);
         }
     }
 
+    /// Does what is wished until it is done, fails, or something else is wished; waits before the next try.
+    async fn turn(&mut self, wish: &mut watch::Receiver<ListWish>) {
+        let ListWish { watch, fetch } = *wish.borrow_and_update();
+        if !watch && !fetch {
+            let _ = wish.changed().await;
+            return;
+        }
+        if fetch {
+            self.hub.take_fetch();
+        }
+        let ended = if fetch || self.moved { self.fetch().await } else { self.watch(wish).await };
+        let Err(reason) = ended else { return };
+        if !std::mem::replace(&mut self.failing, true) {
+            tracing::warn!(%reason, "discovery does not tell");
+        }
+        // Where calls are asked for one by one, the decisions say when to try again.
+        if self.on_request {
+            self.hub.report(Report::List(ListKind::Lost, Vec::new()));
+            let _ = wish.changed().await;
+        }
+        tokio::time::sleep(self.wait).await;
+        self.wait = (self.wait * 2).min(AGAIN.1);
+    }
+
     async fn ask(&self, path: &str) -> Result<Response<Incoming>, Ending> {
-        let host = self.address.to_string();
-        let mut sender = http::open("discovery", path.to_string(), self.address, ANSWER_MOST).await?;
+        let address = *self.address.borrow();
+        let host = address.to_string();
+        let mut sender = http::open("discovery", path.to_string(), address, ANSWER_MOST).await?;
         let answer = timeout(ANSWER_MOST, http::get(&mut sender, &host, path)).await;
         let response = answer.unwrap_or(Err(Ending::TimedOut))?;
         if response.status().is_success() {
@@ -92,11 +120,12 @@
         let text = String::from_utf8(body.to_vec()).map_err(|_| Ending::Unreadable)?;
         self.tell(&text)?;
         self.works();
+        self.moved = false;
         Ok(())
     }
 
     /// Follows changes until the watch ends or is no longer wanted.
-    async fn watch(&mut self, wish: &mut tokio::sync::watch::Receiver<ListWish>) -> Result<(), Ending> {
+    async fn watch(&mut self, wish: &mut watch::Receiver<ListWish>) -> Result<(), Ending> {
         let Some(index) = self.index else { return self.fetch().await };
         let response = self.ask(&format!("/api/targets?watch=1&from={index}")).await?;
         let mut lines = Lines::new(chunks(response), LIST_MOST);
@@ -109,6 +138,9 @@
             if !line.is_empty() {
                 self.tell(&line)?;
             }
+            if self.behind.is_some_and(|since| since.elapsed() >= BEHIND_MOST) {
+                return Ok(());
+            }
         }
     }
 
@@ -131,6 +163,9 @@
             tracing::warn!(unreadable, "entries of the list can't be read");
         }
         tracing::debug!(index, complete, entries = entries.len(), "list");
+        if self.is_behind(index) {
+            return Ok(());
+        }
         self.index = Some(index);
         let kind = if complete { ListKind::Complete } else { ListKind::Changes };
         self.hub.report(Report::List(kind, entries));
@@ -138,6 +173,24 @@
     }
 }
 
+impl List {
+    /// Whether a version is older than what is known. Danger: an agent that lags, as one at a new address may, tells of
+    /// a server that drains as if it were up.
+    fn is_behind(&mut self, index: u64) -> bool {
+        let older = self.index.is_some_and(|known| index < known);
+        if !older {
+            self.behind = None;
+        } else if self.behind.is_none() {
+            tracing::warn!(index, known = self.index, "discovery is behind what it told before");
+        }
+        let anew = older && self.behind.get_or_insert_with(Instant::now).elapsed() >= BEHIND_MOST;
+        if anew {
+            self.behind = None;
+        }
+        older && !anew
+    }
+}
+
 /// The body of an answer as bytes to read.
 fn chunks(response: Response<Incoming>) -> impl AsyncRead + Unpin {
     StreamReader::new(response.into_body().into_data_stream().map_err(std::io::Error::other))
--- a/crates/supervisor/src/main.rs
+++ b/crates/supervisor/src/main.rs
@@ -12,15 +12,17 @@
 mod servers;
 mod wire;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use chutegrade_engine::{Engine, Micros, ReportSource};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-use crate::config::Config;
+use crate::config::{Config, Reloaded, Source};
 use crate::hub::Hub;
 use crate::servers::Servers;
 
@@ -44,15 +46,17 @@
     }
 }
 
-fn start(config: Config) -> Result<(), String> {
+fn start((config, source): (Config, Source)) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|fault| format!("no runtime: {fault}"))?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run(config, source))
 }
 
 /// Wires the parts, and ends at SIGTERM, or with what failed.
-async fn run(config: Config) -> Result<(), String> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(|fault| format!("no signals: {fault}"))?;
+async fn run(config: Config, source: Source) -> Result<(), String> {
+    // Before all else: a signal that nobody handles ends the program.
+    let signals = |kind| signal(kind).map_err(|fault| format!("no signals: {fault}"));
+    let (mut terminate, replaced) = (signals(SignalKind::terminate())?, signals(SignalKind::hangup())?);
     let listener = listener::bind(config.listen)
         .map_err(|fault| format!("cannot listen at {}: {fault}", config.listen))?;
     let listen = listener.local_addr().map_err(|fault| format!("no address: {fault}"))?;
@@ -72,15 +76,18 @@
     // The first tick comes before the first connection is accepted: whoever gets an answer finds a supervisor that
     // has begun with the list it last had.
     let ticking = tokio::task::spawn_local(ticks(hub.clone(), servers, between));
-    let list = list::List::new(hub.clone(), config.discovery, index, on_request);
+    let (moved, discovery) = watch::channel(config.discovery);
+    let reloading = tokio::task::spawn_local(reloads(replaced, source, moved));
+    let list = list::List::new(hub.clone(), discovery, index, on_request);
     let listing = tokio::task::spawn_local(list.run());
     let serving = listener::serve(hub.clone(), listener, config.limits.sockets, silence);
     let serving = tokio::task::spawn_local(serving);
     tracing::info!(name = config.name, %listen, discovery = %config.discovery, "started");
-    // None of the three ends while all is well; one that did would leave a supervisor that only seems to serve.
+    // None of the four ends while all is well; one that did would leave a supervisor that only seems to serve.
     tokio::select! {
         _ = terminate.recv() => tracing::info!("stopping"),
         _ = ticking => return Err("the decisions have stopped".to_string()),
+        _ = reloading => return Err("reading new configurations has stopped".to_string()),
         _ = listing => return Err("following the list has stopped".to_string()),
         _ = serving => return Err("accepting connections has stopped".to_string()),
     }
@@ -89,6 +96,19 @@
     Ok(())
 }
 
+/// Reads the configuration anew at each SIGHUP; signals that come while it reads count as one more.
+async fn reloads(mut replaced: Signal, mut source: Source, moved: watch::Sender<SocketAddr>) {
+    while replaced.recv().await.is_some() {
+        match source.reload() {
+            Ok(Reloaded { discovery, later }) => {
+                tracing::info!(%discovery, restart_for = later.join(","), "reloaded");
+                moved.send_if_modified(|address| std::mem::replace(address, discovery) != discovery);
+            }
+            Err(fault) => tracing::error!(%fault, "the new configuration is not taken, the old one holds"),
+        }
+    }
+}
+
 /// Ticks the engine when a timer is due or reports wait, no denser than the settings allow, and hands out what
 /// is due then.
 async fn ticks(hub: Rc<Hub>, servers: Rc<Servers>, between: Duration) {
--- a/crates/supervisor/tests/serving.rs
+++ b/crates/supervisor/tests/serving.rs
@@ -131,6 +131,71 @@
     proxy.applies("news on the second watch", |proxy| proxy.picks("lookup") == ["s-1", "s-3"]).await;
 }
 
+/// Danger: SIGHUP ends a program that has no handler, and the environment names the old address for good.
+#[tokio::test]
+async fn a_new_configuration_moves_it_to_another_agent() {
+    let (discovery, servers) = fleet().await;
+    let mut told = config(&discovery, Some(discovery.list()), 1024);
+    let mut supervisor = Supervisor::start_with_env(&told).await;
+    let mut proxy = joined(&supervisor, 0).await;
+    until("a watch", || discovery.opened() == 1).await;
+
+    let second = discovery.second().await;
+    told["discovery"] = json!(second.address.to_string());
+    supervisor.reload(&told.to_string()).await;
+    until("a watch at the new address", || second.opened() == 1).await;
+    second.set("s-2", servers[1].address, "draining");
+    proxy.applies("news from there", |proxy| proxy.picks("lookup") == ["s-1", "s-3"]).await;
+
+    // While the agent says nothing, and more signals than one at a time: the last file holds.
+    second.mute(true);
+    let third = second.second().await;
+    for agent in [&discovery, &third] {
+        told["discovery"] = json!(agent.address.to_string());
+        supervisor.reload(&told.to_string()).await;
+    }
+    until("a watch at the third address", || third.opened() == 1).await;
+    third.set("s-1", servers[0].address, "draining");
+    proxy.applies("news from the third", |proxy| proxy.picks("order") == ["s-3"]).await;
+
+    // What can't be read or changed while it runs leaves all as it is.
+    supervisor.reload("{\"discovery\": \"127.0.0.1:9\", \"settings\"").await;
+    supervisor.logs(1, &["the new configuration is not taken"]).await;
+    told["limits"]["sockets"] = json!(64);
+    supervisor.reload(&told.to_string()).await;
+    supervisor.logs(1, &["reloaded", "limits"]).await;
+    third.set("s-1", servers[0].address, "up");
+    proxy.applies("news as before", |proxy| proxy.picks("order") == ["s-1", "s-3"]).await;
+    assert_eq!(supervisor.logged(&["peer=\"proxy\"", "connection ended"]), 0);
+    assert_eq!(supervisor.terminate().await, Some(0));
+}
+
+/// Danger: an agent that was sent less than the last one tells of a server that drains as if it were up.
+#[tokio::test]
+async fn an_agent_that_is_behind_undoes_nothing() {
+    let (discovery, servers) = fleet().await;
+    let behind = discovery.second().await;
+    let mut told = config(&discovery, Some(discovery.list()), 1024);
+    let supervisor = Supervisor::start(&told).await;
+    let mut proxy = joined(&supervisor, 0).await;
+    discovery.set("s-2", servers[1].address, "draining");
+    proxy.applies("the drain", |proxy| proxy.picks("lookup") == ["s-1", "s-3"]).await;
+
+    told["discovery"] = json!(behind.address.to_string());
+    supervisor.reload(&told.to_string()).await;
+    until("a watch there", || behind.opened() == 1).await;
+    supervisor.logs(1, &["discovery is behind"]).await;
+    // It catches up: the first that is news here is told after what is old.
+    behind.set("s-2", servers[1].address, "draining");
+    behind.set("s-3", servers[2].address, "draining");
+    proxy.applies("the news", |proxy| proxy.picks("lookup") == ["s-1"]).await;
+    assert_eq!(supervisor.logged(&["s-2 InService"]), 0);
+    // Where the numbers start anew for good, what is told holds in the end.
+    behind.count_from(1);
+    behind.set("s-2", servers[1].address, "up");
+    proxy.applies("the return", |proxy| proxy.picks("lookup").contains(&"s-2")).await;
+}
+
 #[tokio::test]
 async fn a_restart_serves_from_the_known_list_while_discovery_is_down() {
     let (discovery, _servers) = fleet().await;
--- a/crates/supervisor/tests/support/mod.rs
+++ b/crates/supervisor/tests/support/mod.rs
@@ -183,6 +183,21 @@
         self.told().watches.clear();
     }
 
+    /// Another agent that has been sent the same list.
+    pub async fn second(&self) -> Self {
+        let other = Discovery::start().await;
+        {
+            let (told, mut its) = (self.told(), other.told());
+            (its.index, its.entries) = (told.index, told.entries.clone());
+        }
+        other
+    }
+
+    /// Has been sent nothing newer than this version, or counts from there.
+    pub fn count_from(&self, index: u64) {
+        self.told().index = index;
+    }
+
     /// From now on nothing is said, on old watches and new ones; or everything again on new ones.
     pub fn mute(&self, mute: bool) {
         self.told().mute = mute;
@@ -243,6 +258,7 @@
     child: Child,
     pub address: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
+    path: String,
 }
 
 static CONFIGS: AtomicUsize = AtomicUsize::new(0);
@@ -268,25 +284,26 @@
     })
 }
 
-fn command(config: &Value) -> Command {
+fn command(config: &Value) -> (Command, String) {
     prepared(config, Command::new(env!("CARGO_BIN_EXE_chutegrade")))
 }
 
-fn prepared(config: &Value, mut command: Command) -> Command {
+/// The command with its environment, and where its configuration is.
+fn prepared(config: &Value, mut command: Command) -> (Command, String) {
     let number = CONFIGS.fetch_add(1, Ordering::SeqCst);
     let path = format!("{}/supervisor-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&path, config.to_string()).expect("a configuration file");
     for variable in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
         command.env_remove(variable);
     }
-    command.env("LB_CONFIG", path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    command.env("LB_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
     command.kill_on_drop(true);
-    command
+    (command, path)
 }
 
 /// Starts the program with a configuration that it can't run with; its exit code and what it said.
 pub async fn fails_to_start(config: &Value) -> (Option<i32>, String) {
-    let output = soon("the end of the program", command(config).output()).await.expect("the program");
+    let output = soon("the end of the program", command(config).0.output()).await.expect("the program");
     (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
 }
 
@@ -304,7 +321,14 @@
         Supervisor::started(prepared(config, shell)).await
     }
 
-    async fn started(mut command: Command) -> Self {
+    /// Starts the program with the address of discovery in its environment too, as the operators do.
+    pub async fn start_with_env(config: &Value) -> Self {
+        let (mut command, path) = command(config);
+        command.env("LB_DISCOVERY", config["discovery"].as_str().expect("an address"));
+        Supervisor::started((command, path)).await
+    }
+
+    async fn started((mut command, path): (Command, String)) -> Self {
         let mut child = command.spawn().expect("the program");
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
         let log = Arc::new(Mutex::new(Vec::new()));
@@ -321,7 +345,7 @@
         };
         until("the start", || listens(&log).is_some()).await;
         let address = listens(&log).expect("checked above");
-        Supervisor { child, address, log }
+        Supervisor { child, address, log, path }
     }
 
     /// Lines that hold all of these words.
@@ -336,11 +360,21 @@
         assert_eq!(self.logged(words), times, "log lines with {words:?}");
     }
 
-    /// Sends SIGTERM; its exit code.
-    pub async fn terminate(&mut self) -> Option<i32> {
+    async fn signal(&self, name: &str) {
         let id = self.child.id().expect("it runs").to_string();
-        let sent = Command::new("kill").args(["-TERM", &id]).status().await.expect("kill");
+        let sent = Command::new("kill").args([name, &id]).status().await.expect("kill");
         assert!(sent.success());
+    }
+
+    /// Replaces its configuration file and sends SIGHUP.
+    pub async fn reload(&self, config: &str) {
+        std::fs::write(&self.path, config).expect("a configuration file");
+        self.signal("-HUP").await;
+    }
+
+    /// Sends SIGTERM; its exit code.
+    pub async fn terminate(&mut self) -> Option<i32> {
+        self.signal("-TERM").await;
         soon("the end after SIGTERM", self.child.wait()).await.expect("its status").code()
     }
 
