--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -175,10 +175,13 @@
         self.mark = mark;
         self.turns.push_back((now, mark, lines));
     }
-    /// Messages leave in order: one that arrived tells that all of earlier turns have left.
+    /// Messages leave in order: one that arrived tells that all of earlier turns have left. A mark that was not
+    /// written to this proxy tells nothing.
     pub fn confirmed(&mut self, now: Micros, proxy: ProxyId, mark: u16) {
-        self.confirmed = now;
-        if let Some(turn) = self.turns.iter().position(|(_, sent, _)| *sent == mark) {
+        let written =
+            |(_, sent, lines): &(_, u16, BTreeMap<ProxyId, f64>)| *sent == mark && lines.contains_key(&proxy);
+        if let Some(turn) = self.turns.iter().position(written) {
+            self.confirmed = now;
             self.turns.drain(..turn);
             if let Some((_, _, lines)) = self.turns.front_mut() {
                 lines.remove(&proxy);
@@ -254,3 +257,22 @@
     let last = values.len().checked_sub(1)?;
     values.get((last as f64 * share).round() as usize).copied()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Danger: a spoilt answer frees what still waits, and the queue behind it grows unseen.
+    #[test]
+    fn a_mark_that_was_not_written_to_a_proxy_confirms_nothing() {
+        let mut channel = Channel::default();
+        let lines = |of: &[u32]| of.iter().map(|id| (ProxyId(*id), 4.0)).collect::<BTreeMap<_, _>>();
+        channel.send(Micros(1), 1, lines(&[1, 2]));
+        channel.send(Micros(2), 2, lines(&[2]));
+        channel.confirmed(Micros(3), ProxyId(1), 2);
+        channel.confirmed(Micros(3), ProxyId(2), 77);
+        assert_eq!((channel.waiting(), channel.confirmed), (12.0, Micros(0)));
+        channel.confirmed(Micros(4), ProxyId(2), 2);
+        assert_eq!((channel.waiting(), channel.confirmed), (0.0, Micros(4)));
+    }
+}
--- a/crates/supervisor/src/clients.rs
+++ b/crates/supervisor/src/clients.rs
@@ -11,7 +11,7 @@
 use crate::ending::{End, Ending};
 use crate::hub::{Bell, Hub};
 use crate::lines::{send, Lines};
-use crate::wire::{self, Hello, Message};
+use crate::wire::{self, Fault, Hello, Message, Run};
 
 /// Report periods after which a quiet stream is taken for gone: live ones, of proxies that stood still for 2 s too,
 /// were never quiet for over 1.7 periods, and ending one that lives takes its proxy off its newest tables.
@@ -72,6 +72,7 @@
     expected: &Expected,
     silence: Duration,
 ) -> Result<Infallible, End> {
+    let mut run = Run::default();
     loop {
         let Ok(message) = timeout(silence, lines.message()).await else {
             if expected.usage.get() || expected.answer.get() {
@@ -79,19 +80,26 @@
             }
             continue;
         };
-        expected.answer.set(false);
-        match message? {
+        let fault = match message? {
             Message::Ack { id: by, seq, ms } if by == id => {
+                expected.answer.set(false);
                 hub.report(Report::Ack { stream, mark: seq, took: ms });
+                None
             }
-            Message::Told(report @ Report::Demand { .. }) => {
+            Message::Told(Report::Demand { proxy, class, came, failed, period }) if proxy == id => {
                 expected.usage.set(true);
-                hub.report(report);
+                hub.report(Report::Demand { proxy, class, came, failed, period });
+                None
             }
-            Message::Other => {}
-            Message::Probe => bell.ask(),
-            _ => return Err(Ending::Unreadable.because("a message that no stream brings")),
-        }
+            Message::Other => None,
+            Message::Probe => {
+                bell.ask();
+                None
+            }
+            Message::Spoilt(fault) => Some(fault),
+            _ => Some(Fault::Stray("stream")),
+        };
+        hub.skip(&mut run, fault)?;
     }
 }
 
--- a/crates/supervisor/src/collectors.rs
+++ b/crates/supervisor/src/collectors.rs
@@ -10,7 +10,7 @@
 use crate::ending::{End, Ending};
 use crate::hub::Hub;
 use crate::lines::{send, Lines};
-use crate::wire::{self, Message};
+use crate::wire::{self, Fault, Message, Run};
 
 /// A collector that has brought nothing for so long is gone; one without news merely dials again.
 const SILENT_MOST: Duration = Duration::from_secs(30);
@@ -49,13 +49,22 @@
     lines: &mut Lines<OwnedReadHalf>,
     write: &mut OwnedWriteHalf,
 ) -> Result<Infallible, End> {
+    let mut run = Run::default();
     loop {
         let message = timeout(SILENT_MOST, lines.message()).await;
-        match message.unwrap_or(Err(Ending::Silent.into()))? {
-            Message::Told(report) => hub.report(report),
-            Message::Probe => send(write, wire::ALIVE).await?,
-            Message::Other => {}
-            _ => return Err(Ending::Unreadable.because("a message that no collector brings")),
-        }
+        let fault = match message.unwrap_or(Err(Ending::Silent.into()))? {
+            Message::Told(report) => {
+                hub.report(report);
+                None
+            }
+            Message::Probe => {
+                send(write, wire::ALIVE).await?;
+                None
+            }
+            Message::Other => None,
+            Message::Spoilt(fault) => Some(fault),
+            _ => Some(Fault::Stray("collector")),
+        };
+        hub.skip(&mut run, fault)?;
     }
 }
--- a/crates/supervisor/src/hub.rs
+++ b/crates/supervisor/src/hub.rs
@@ -8,6 +8,9 @@
 use chutegrade_engine::{Engine, ListWish, Micros, Report, StreamId, Unknown};
 use tokio::sync::{watch, Notify};
 
+use crate::ending::{End, Ending};
+use crate::wire::{Fault, Run};
+
 /// One time base for all: Unix time at the start, carried on by a clock that never steps.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -94,8 +97,7 @@
     /// Hands a report to the engine for the next tick; one that names what is not known is dropped and counted.
     pub fn report(&self, report: Report) {
         if let Err(unknown) = self.try_report(report) {
-            let mut dropped = self.dropped.borrow_mut();
-            *dropped = (dropped.0 + 1, unknown.to_string());
+            self.drop_report(unknown);
         }
     }
 
@@ -106,6 +108,22 @@
         Ok(())
     }
 
+    /// Skips a message that told nothing, and counts it; too many in a row are the end of their connection.
+    pub fn skip(&self, run: &mut Run, fault: Option<Fault>) -> Result<(), End> {
+        let Some(fault) = fault else {
+            run.good();
+            return Ok(());
+        };
+        let fault = run.spoilt(fault).map_err(|fault| Ending::Unreadable.because(fault))?;
+        self.drop_report(fault);
+        Ok(())
+    }
+
+    fn drop_report(&self, why: impl ToString) {
+        let mut dropped = self.dropped.borrow_mut();
+        *dropped = (dropped.0 + 1, why.to_string());
+    }
+
     /// How many reports were dropped since this was last asked, and why the last one was.
     pub fn take_dropped(&self) -> (u64, String) {
         self.dropped.take()
--- a/crates/supervisor/src/listener.rs
+++ b/crates/supervisor/src/listener.rs
@@ -125,6 +125,7 @@
                 life.named("collector", site);
                 collectors.serve(hub, lines, write).await
             }
+            Message::Spoilt(fault) => Err(Ending::Unreadable.because(fault)),
             _ => Err(Ending::Unreadable.because("first message names nobody")),
         }
     };
