--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -225,6 +225,20 @@
         known.ok_or(Unknown::Zone(name))
     }
 
+    /// Whether the settings hold this zone and, if one is given, this proxy.
+    pub fn knows(&self, zone: &str, proxy: Option<u32>) -> Result<(), Unknown> {
+        self.zone(zone.to_string())?;
+        match proxy.filter(|proxy| *proxy as usize >= self.proxies) {
+            Some(proxy) => Err(Unknown::Proxy(proxy)),
+            None => Ok(()),
+        }
+    }
+
+    /// How many proxies, and how many zones, the settings hold.
+    pub fn fleet(&self) -> (usize, usize) {
+        (self.proxies, self.zones)
+    }
+
     /// The stream on which a proxy is joined.
     pub fn stream_of(&self, proxy: u32) -> Option<StreamId> {
         self.streams.of(ProxyId(proxy))
--- a/crates/supervisor/src/collectors.rs
+++ b/crates/supervisor/src/collectors.rs
@@ -1,7 +1,9 @@
 //! Collectors: reports on a zone's servers and on usage. Nothing is written to them but answers to `probe`.
 
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::convert::Infallible;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -10,37 +12,38 @@
 use crate::ending::{End, Ending};
 use crate::hub::Hub;
 use crate::lines::{send, Lines};
+use crate::listener::Places;
 use crate::wire::{self, Fault, Message, Run};
 
 /// A collector that has brought nothing for so long is gone; one without news merely dials again.
 const SILENT_MOST: Duration = Duration::from_secs(30);
 
-/// The collectors that are connected.
+/// Collectors of a zone at a time: one serves it, the others fell silent and dial again.
+pub const PER_ZONE: usize = 4;
+
+/// The collectors that are connected, by zone. When a zone has too many the oldest goes, which is the likeliest to have
+/// fallen silent.
+#[derive(Default)]
 pub struct Collectors {
-    most: usize,
-    connected: Cell<usize>,
+    zones: RefCell<HashMap<String, Rc<Places>>>,
 }
 
 impl Collectors {
-    /// At most so many at a time.
-    pub fn new(most: usize) -> Self {
-        Collectors { most, connected: Cell::new(0) }
-    }
-
-    /// Serves a collector from its `agent` on.
+    /// Serves a collector of a known zone from its `agent` on.
     pub async fn serve(
         &self,
         hub: &Hub,
         mut lines: Lines<OwnedReadHalf>,
         mut write: OwnedWriteHalf,
+        site: String,
     ) -> Result<Infallible, End> {
-        if self.connected.get() >= self.most {
-            return Err(Ending::Crowded.into());
+        let places =
+            self.zones.borrow_mut().entry(site).or_insert_with(|| Rc::new(Places::new(PER_ZONE))).clone();
+        let place = places.take();
+        tokio::select! {
+            end = reports(hub, &mut lines, &mut write) => end,
+            () = place.needed() => Err(Ending::Crowded.into()),
         }
-        self.connected.set(self.connected.get() + 1);
-        let end = reports(hub, &mut lines, &mut write).await;
-        self.connected.set(self.connected.get().saturating_sub(1));
-        end
     }
 }
 
--- a/crates/supervisor/src/lines.rs
+++ b/crates/supervisor/src/lines.rs
@@ -39,6 +39,19 @@
         wire::message(&line).map_err(|fault| Ending::Unreadable.because(fault))
     }
 
+    /// Reads and forgets at most so many bytes, until the source ends.
+    pub async fn discard(mut self, most: usize) {
+        let mut left = most;
+        while left > 0 {
+            self.buffer.clear();
+            self.buffer.reserve(READ_AT_ONCE);
+            match self.source.read_buf(&mut self.buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(read) => left = left.saturating_sub(read),
+            }
+        }
+    }
+
     /// The next line, without its end. Nothing is lost when the call is dropped while it waits.
     pub async fn next(&mut self) -> Result<String, Ending> {
         loop {
--- a/crates/supervisor/src/listener.rs
+++ b/crates/supervisor/src/listener.rs
@@ -3,21 +3,23 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::clients;
-use crate::collectors::Collectors;
+use crate::collectors::{Collectors, PER_ZONE};
 use crate::ending::{End, Ending, Life};
 use crate::hub::Hub;
 use crate::lines::{send, Lines};
-use crate::wire::{self, Message};
+use crate::wire::{self, Hello, Message};
 
 /// Connections that the system holds until they are accepted: all proxies of a fleet may dial at once.
 const BACKLOG: u32 = 1024;
@@ -26,42 +28,75 @@
 /// Longest line from whoever has said who it is, in bytes: no message has a form that comes near it, and a thousand
 /// such buffers fit the memory that a supervisor has.
 const LINE_MOST: usize = 64 * 1024;
-/// How long a connection may go without saying who it is: several times what a slow link needs for one line.
-const UNNAMED_MOST: Duration = Duration::from_secs(10);
-/// Share of the descriptors that connections which have not said who they are may hold, and collectors may: one
-/// in so many each. Proxies, servers and discovery keep the rest.
-const SHARE: usize = 8;
+/// How long a connection may go without saying who it is, from when it was accepted and whatever it asks meanwhile: a
+/// peer has 1 s for it, and who is none must hear of its end within 3 s.
+const UNNAMED_MOST: Duration = Duration::from_millis(1500);
+/// How long, and for how many bytes, one that is turned away is still read: what stays unread turns a close into a reset,
+/// and the last word is lost with it.
+const LAST_READ: (Duration, usize) = (Duration::from_millis(200), 64 * 1024);
+/// Descriptors that are not for peers: the runtime's own, standard streams, the listener, the watch of discovery and the
+/// one that takes its place, one to accept with.
+const OWN_DESCRIPTORS: usize = 16;
+/// The least connections that may be there without having said who they are, however few descriptors there are.
+const STRANGERS_LEAST: usize = 8;
 /// Wait before accepting again when no descriptor is left: long enough not to spin, short for a proxy.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
-/// The connections that have not said who they are, oldest first.
-struct Strangers {
+/// Places for connections of one sort, oldest first; when there are too many, the oldest has to go.
+pub struct Places {
     most: usize,
-    waiting: RefCell<VecDeque<Rc<Notify>>>,
+    taken: RefCell<VecDeque<Rc<Notify>>>,
 }
 
-impl Strangers {
-    /// Takes one in; the oldest goes when there are too many.
-    fn enter(&self) -> Rc<Notify> {
-        let place = Rc::new(Notify::new());
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.push_back(Rc::clone(&place));
-        if waiting.len() > self.most {
-            if let Some(oldest) = waiting.pop_front() {
+/// One connection's place, until it is dropped.
+pub struct Place<'a> {
+    places: &'a Places,
+    needed: Rc<Notify>,
+}
+
+impl Places {
+    /// So many places.
+    pub fn new(most: usize) -> Self {
+        Places { most, taken: RefCell::default() }
+    }
+
+    /// Takes one; the oldest is told when there are too many.
+    pub fn take(&self) -> Place<'_> {
+        let needed = Rc::new(Notify::new());
+        let mut taken = self.taken.borrow_mut();
+        taken.push_back(Rc::clone(&needed));
+        if taken.len() > self.most {
+            if let Some(oldest) = taken.pop_front() {
                 oldest.notify_one();
             }
         }
-        place
+        Place { places: self, needed }
+    }
+}
+
+impl Place<'_> {
+    /// Waits until the place is needed for another.
+    pub async fn needed(&self) {
+        self.needed.notified().await;
     }
+}
 
-    fn leave(&self, place: &Rc<Notify>) {
-        self.waiting.borrow_mut().retain(|other| !Rc::ptr_eq(other, place));
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.places.taken.borrow_mut().retain(|other| !Rc::ptr_eq(other, &self.needed));
     }
 }
 
+/// How many may be there without having said who they are: half of what remains once each proxy, collector and server
+/// that the settings hold has its descriptor; the other half is for servers, whose number only the list tells.
+fn strangers(sockets: usize, proxies: usize, zones: usize) -> usize {
+    let peers = OWN_DESCRIPTORS + proxies + zones * PER_ZONE;
+    (sockets.saturating_sub(peers) / 2).max(STRANGERS_LEAST)
+}
+
 /// Where a connection goes once it has said who it is, and until then.
 struct Doors {
-    strangers: Strangers,
+    strangers: Places,
     collectors: Collectors,
     silence: Duration,
 }
@@ -76,10 +111,10 @@
 
 /// Accepts connections, with so many descriptors in all and that limit on a proxy's silence, until the supervisor stops.
 pub async fn serve(hub: Rc<Hub>, listener: TcpListener, sockets: usize, silence: Duration) {
-    let share = (sockets / SHARE).max(1);
+    let (proxies, zones) = hub.engine().fleet();
     let doors = Rc::new(Doors {
-        strangers: Strangers { most: share, waiting: RefCell::default() },
-        collectors: Collectors::new(share),
+        strangers: Places::new(strangers(sockets, proxies, zones)),
+        collectors: Collectors::default(),
         silence,
     });
     let mut failing = false;
@@ -102,32 +137,27 @@
 
 /// One connection, from its first message to its end.
 async fn connection(hub: &Hub, doors: &Doors, stream: TcpStream, remote: SocketAddr) {
-    let Doors { strangers, collectors, silence } = doors;
     let mut life = Life::begin("stranger", remote.to_string());
     // An order is a message of its own and must not wait for the next one.
     let _ = stream.set_nodelay(true);
     let (read, mut write) = stream.into_split();
     let mut lines = Lines::new(read, FIRST_LINE_MOST);
     let served = async {
-        let place = strangers.enter();
-        let first = tokio::select! {
-            first = named(&mut lines, &mut write) => first,
-            () = place.notified() => Err(Ending::Crowded.into()),
-        };
-        strangers.leave(&place);
-        lines.allow(LINE_MOST);
-        match first? {
-            Message::Hello(hello) => {
-                life.named("proxy", format!("{}@{}", hello.id, hello.site));
-                clients::serve(hub, lines, write, hello, *silence).await
-            }
-            Message::Agent { site } => {
-                life.named("collector", site);
-                collectors.serve(hub, lines, write).await
+        let place = doors.strangers.take();
+        let end = tokio::select! {
+            named = timeout(UNNAMED_MOST, named(hub, &mut lines, &mut write)) => {
+                match named.unwrap_or(Err(Ending::Unnamed.into())) {
+                    Ok(peer) => {
+                        drop(place);
+                        return peer.serve(hub, doors, lines, write, &mut life).await;
+                    }
+                    Err(end) => end,
+                }
             }
-            Message::Spoilt(fault) => Err(Ending::Unreadable.because(fault)),
-            _ => Err(Ending::Unreadable.because("first message names nobody")),
-        }
+            () = place.needed() => Ending::Crowded.into(),
+        };
+        turn_away(lines, write, &end, &place).await;
+        Err(end)
     };
     let Err(end) = tokio::select! {
         end = served => end,
@@ -136,14 +166,109 @@
     life.end(end);
 }
 
+/// Who has said who it is.
+enum Named {
+    Proxy(Hello),
+    Collector { site: String },
+}
+
+impl Named {
+    async fn serve(
+        self,
+        hub: &Hub,
+        doors: &Doors,
+        mut lines: Lines<OwnedReadHalf>,
+        write: OwnedWriteHalf,
+        life: &mut Life,
+    ) -> Result<Infallible, End> {
+        lines.allow(LINE_MOST);
+        match self {
+            Named::Proxy(hello) => {
+                life.named("proxy", format!("{}@{}", hello.id, hello.site));
+                clients::serve(hub, lines, write, hello, doors.silence).await
+            }
+            Named::Collector { site } => {
+                life.named("collector", site.clone());
+                doors.collectors.serve(hub, lines, write, site).await
+            }
+        }
+    }
+}
+
 /// Waits for the message that says who is there; `probe` may come any number of times before. Whoever can ask finds the
 /// decisions begun, see `run` in `main.rs`.
-async fn named(lines: &mut Lines<OwnedReadHalf>, write: &mut OwnedWriteHalf) -> Result<Message, End> {
+async fn named(
+    hub: &Hub,
+    lines: &mut Lines<OwnedReadHalf>,
+    write: &mut OwnedWriteHalf,
+) -> Result<Named, End> {
     loop {
-        let message = timeout(UNNAMED_MOST, lines.message()).await;
-        match message.unwrap_or(Err(Ending::Unnamed.into()))? {
+        match lines.message().await? {
             Message::Probe => send(write, wire::ALIVE).await?,
-            message => return Ok(message),
+            Message::Hello(hello) => {
+                hub.engine().knows(&hello.site, Some(hello.id)).map_err(|no| Ending::Unknown.because(no))?;
+                return Ok(Named::Proxy(hello));
+            }
+            Message::Agent { site } => {
+                hub.engine().knows(&site, None).map_err(|no| Ending::Unknown.because(no))?;
+                return Ok(Named::Collector { site });
+            }
+            Message::Spoilt(fault) => return Err(Ending::Unreadable.because(fault)),
+            _ => return Err(Ending::Unreadable.because("first message names nobody")),
+        }
+    }
+}
+
+/// Tells one that is no peer why it has to go, and reads on for a moment so that the word arrives. Nothing waits for a
+/// client that reads nothing.
+async fn turn_away(lines: Lines<OwnedReadHalf>, mut write: OwnedWriteHalf, end: &End, place: &Place<'_>) {
+    if matches!(end.reason, Ending::Closed | Ending::CutShort | Ending::Reset) {
+        return;
+    }
+    let _ = write.try_write(wire::error(end.reason.code()).as_bytes());
+    if end.reason == Ending::Crowded {
+        return;
+    }
+    tokio::select! {
+        _ = timeout(LAST_READ.0, async {
+            let _ = write.shutdown().await;
+            lines.discard(LAST_READ.1).await;
+        }) => {}
+        () = place.needed() => {}
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Danger: with a fixed share, strangers and a whole fleet that comes to one supervisor need more than there is.
+    #[test]
+    fn strangers_get_what_peers_leave() {
+        for (sockets, proxies) in [(256, 150), (512, 400), (1024, 150), (1024, 240)] {
+            let most = strangers(sockets, proxies, 3);
+            let rest = sockets - most - OWN_DESCRIPTORS - proxies - 3 * PER_ZONE;
+            assert!(
+                (STRANGERS_LEAST..=sockets / 2).contains(&most) && rest >= 30,
+                "{sockets}: {most}, {rest}"
+            );
         }
+        assert_eq!(strangers(64, 150, 3), STRANGERS_LEAST);
+    }
+
+    #[test]
+    fn the_oldest_place_is_needed_first_and_a_place_given_up_is_free() {
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        runtime.block_on(async {
+            let places = Places::new(2);
+            let (first, second) = (places.take(), places.take());
+            drop(first);
+            let third = places.take();
+            let fourth = places.take();
+            second.needed().await;
+            assert_eq!(places.taken.borrow().len(), 2);
+            drop((second, third, fourth));
+            assert!(places.taken.borrow().is_empty());
+        });
     }
 }
--- a/crates/supervisor/src/wire.rs
+++ b/crates/supervisor/src/wire.rs
@@ -214,6 +214,11 @@
     }
 }
 
+/// What a peer is told whose connection is ended, with the reason's code.
+pub fn error(code: &str) -> String {
+    format!("error reason={code}\r\n")
+}
+
 /// The answer to `probe`.
 pub const ALIVE: &[u8] = b"alive\r\n";
 /// Longest line written, in bytes: well below the protocol's 1 MiB; what is longer goes on in a further part.
