--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -63,8 +63,9 @@
 const PROBE_TRIES: f64 = 2.0;
 /// Servers of a zone that must be heard of before what is common to them is taken for the way there.
 const LINK_LEAST: usize = 8;
-/// At least this share of the probes must be answered before one that timed out is held against a server.
-const PROBES_ANSWERED: f64 = 0.7;
+/// At least this share of the probes must be answered before one that timed out is held against a server. A
+/// zone that answers less than the second share is cut off from here, if another answers the first.
+const PROBES_ANSWERED: (f64, f64) = (0.7, 0.1);
 /// A cold server's part is set for this multiple of what the listed fleet can do: tallies are seconds late.
 const COLD_DEMAND: f64 = 4.0;
 /// Tries an answer, and saturation, beyond which cold servers stay out where proxies avoid servers.
@@ -136,12 +137,12 @@
             self.speed.probes.add(speed.powi(QUICK + 1), speed.powi(QUICK));
             self.probes_now.add(speed, 1.0);
             self.quickest = if self.quickest > 0.0 { self.quickest.min(took.secs()) } else { took.secs() };
+            self.probing.failing = 0;
         }
         let probing = &mut self.probing;
         let asked = probing.asked.take();
         match end {
-            ProbeEnd::Done => probing.failing = 0,
-            ProbeEnd::Busy | ProbeEnd::Other => {}
+            ProbeEnd::Done | ProbeEnd::Busy | ProbeEnd::Other => {}
             ProbeEnd::Error | ProbeEnd::TimedOut | ProbeEnd::Unreachable => {
                 probing.failing += 1;
                 probing.next = asked.map_or(probing.next, |asked| asked + TICK);
@@ -180,6 +181,7 @@
     usual_parts: usize,                     // while connections do not fail
     narrowed: Option<Micros>,               // when tries last failed everywhere while servers idled
     links: BTreeMap<(ZoneId, ZoneId), f64>, // scores of the ways, by zone of proxies and of servers
+    cut: BTreeSet<ZoneId>,                  // zones that do not answer here while another does
     ticked: Micros,
     updated: Option<Micros>,
     subscribe_at: Option<Micros>,
@@ -338,27 +340,36 @@
             out.push(Action::Subscribe(true));
         }
         self.further = self.way();
-        let zones = self.references();
         // Failed probes blame no server while few are answered: the own process or the way there may fail.
         let mute = self.mute();
+        // Danger: a zone cut off from here would pass for a jam, and all would be refused for it.
+        let answers = mute.values().any(|share| *share <= 1.0 - PROBES_ANSWERED.0);
+        let most = |zone| 1.0 - if self.cut.contains(zone) { PROBES_ANSWERED.0 } else { PROBES_ANSWERED.1 };
+        let (cut, mute): (Zones, Zones) =
+            mute.iter().partition(|(zone, share)| answers && **share > most(*zone));
+        self.cut = cut.into_keys().collect();
         let median_mute = quantile(mute.values().copied(), 0.5).unwrap_or(0.0);
-        let probes_count = median_mute <= 1.0 - PROBES_ANSWERED;
+        let probes_count = median_mute <= 1.0 - PROBES_ANSWERED.0;
+        let zones = self.references();
         let failing = zones.values().map(|zone| zone.0).reduce(f64::min).unwrap_or(0.0);
         if probes_count && failing > NARROW_FROM.0 && self.admission.strain < REFUSE.0 {
             self.narrowed = Some(now);
         }
         let usual: Zones =
-            self.zones().filter_map(|zone| Some((zone, self.median(Some(zone), slowed)?))).collect();
-        let fleet_saturated = self.median(None, |server| Some(server.saturated())).unwrap_or(0.0);
+            self.zones().filter_map(|zone| Some((zone, self.median(Some(zone), Server::slowed)?))).collect();
         // Terms count by what the others can take: work moved off a server of a full fleet jams the next.
-        let spare = 1.0 - fleet_saturated;
+        let spare = 1.0 - self.median(None, |server| Some(server.saturated())).unwrap_or(0.0);
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.open()) {
             let (zone, at) = (server.entry.zone, |zones: &Zones, zone| zones.get(zone).copied());
-            let answered = probes_count && at(&mute, &zone).is_none_or(|mute| mute <= 0.5);
-            let (failing, answers) = met(server, &zones, answered);
+            let answered = probes_count && at(&mute, &zone).is_some_and(|mute| mute <= 0.5);
+            // What failed meanwhile blames nobody later: once the way is back, answers come one by one.
+            if !answered {
+                (server.probing.failed, server.probing.failing) = (0.0, server.probing.failing.min(1));
+            }
+            let (failing, answers) = met(server, &zones);
             let error = 1.0 - spare * clamp01(failing / ERROR_BUDGET);
             // Probe times now show a slowed machine whatever its model, answer times what probes do not meet.
-            let probed = slowed(server).map(|now| now / at(&usual, &zone).unwrap_or(1.0));
+            let probed = server.slowed().map(|now| now / at(&usual, &zone).unwrap_or(1.0));
             let ratio = probed.map_or(answers, |probed| probed.max(answers * ANSWERS_COUNT));
             let latency = 1.0 - spare * clamp01(ratio / LATENCY_BUDGET);
             let before = server.state;
@@ -377,30 +388,36 @@
     /// servers alike - a stalled proxy, zone or supervisor, an overload - blames none. The way between two
     /// zones has a score like a server's, by what its servers lack against what is met there or else at home.
     /// Danger: a slow link costs healthy servers their weight; while it lasts they are judged by each other.
+    /// Probes tell of a zone cut off before tries on its way time out: such a way has no score at once.
     fn references(&mut self) -> References {
         let seen = |f: Fading| (f.weight >= 1.0).then(|| f.sum / f.weight);
         let of = |from: ZoneId, f: fn(&Evidence) -> Fading| move |s: &Server| seen(f(s.heard.get(&from)?));
         let view =
             |from, to| (self.median(to, of(from, |e| e.failed)), self.median(to, of(from, |e| e.cost)));
-        let near = |(from, to)| {
-            let (failed, took) = view(from, Some(to));
-            ((from, to), failed.zip(took))
-        };
         let heard: BTreeSet<ZoneId> = self.open().flat_map(|(_, s)| s.heard.keys().copied()).collect();
         let pairs = heard.iter().flat_map(|from| self.zones().map(move |to| (*from, to)));
-        let seen: BTreeMap<_, _> = pairs.map(near).collect();
+        let seen: BTreeMap<_, _> = pairs.map(|way| (way, view(way.0, Some(way.1)))).collect();
         let fleet: BTreeMap<_, _> = heard.iter().map(|from| (*from, view(*from, None))).collect();
         let mut usual = References::new();
+        let bad = self.links.iter().filter(|(_, score)| **score < RESTORE_ABOVE);
+        let beside: BTreeSet<ZoneId> = bad.map(|((from, _), _)| *from).collect();
         for ((from, to), met) in seen.iter() {
-            let (failed, took) = fleet.get(from).copied().unwrap_or_default();
-            let all = (failed.unwrap_or(0.0), took.unwrap_or(0.0));
-            let there = seen.get(&(*to, *to)).or_else(|| seen.get(&(*from, *from))).copied().flatten();
-            let (met, there) = (met.unwrap_or(all), there.unwrap_or(all));
+            let all = or(fleet.get(from).copied().unwrap_or_default(), (0.0, 0.0));
+            let there = seen.get(&(*to, *to)).or(seen.get(&(*from, *from))).copied().unwrap_or_default();
+            let (met, there) = (or(*met, all), or(there, all));
             let error = 1.0 - clamp01((met.0 - there.0) / ERROR_BUDGET);
             let latency = 1.0 - clamp01(met.1 / there.1.max(1.0) / LATENCY_BUDGET);
             let score = self.links.entry((*from, *to)).or_insert(1.0);
-            *score = smooth(*score, error.min(latency));
-            usual.insert((*from, *to), if *score < RESTORE_ABOVE { met } else { all });
+            let (was, cut) = (*score, from != to && self.cut.contains(to));
+            let now = if was > 0.0 { smooth(was, error.min(latency)) } else { NEW_SCORE };
+            *score = if cut { 0.0 } else { now };
+            // Danger: beside a bad way, what the fleet's median fails passes for usual everywhere.
+            let apart = *score < RESTORE_ABOVE || beside.contains(from);
+            usual.insert((*from, *to), if apart { met } else { all });
+            // What failed on the way blames neither it nor a server once it is back.
+            let back = !cut && (was <= 0.0 || (was < RESTORE_ABOVE && *score >= RESTORE_ABOVE));
+            let there = self.servers.values_mut().filter(|s| back && s.entry.zone == *to);
+            there.for_each(|server| server.heard.retain(|zone, _| zone != from));
         }
         usual
     }
@@ -411,12 +428,11 @@
 
     /// By zone, the share of its servers that answer no probe.
     fn mute(&self) -> Zones {
-        let silent = |zone: &ZoneId| {
-            let here = self.open().filter(|(_, server)| server.entry.zone == *zone);
-            let silent = here.clone().filter(|(_, server)| server.probing.failing > 0).count();
-            (*zone, silent as f64 / here.count() as f64)
-        };
-        self.zones().map(|zone| silent(&zone)).filter(|(_, share)| share.is_finite()).collect()
+        let mut zones = BTreeMap::<ZoneId, Fading>::new();
+        for (_, server) in self.open() {
+            zones.entry(server.entry.zone).or_default().add(f64::from(server.probing.failing.min(1)), 1.0);
+        }
+        zones.into_iter().map(|(zone, silent)| (zone, silent.sum / silent.weight)).collect()
     }
 
     /// Danger: while nobody has work for the servers, what probes take passes for a usual speed that is none.
@@ -575,7 +591,7 @@
         let aim = (aims / self.settings.classes.len().max(1) as f64).max(1.0);
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
         // A queue is told only when every answer is late: probe times and time-outs show what waits before.
-        let shared = self.median(None, |server| server.speed.service.mean().and(slowed(server)));
+        let shared = self.median(None, |server| server.speed.service.mean().and(server.slowed()));
         let shared = full(shared.unwrap_or(1.0), BUSY_STRETCH);
         let failing = quantile(zones.values().map(failing), 0.5).unwrap_or(0.0);
         let term = if told > 0.0 { (busy / told).max(shared).max(mute) } else { failing };
@@ -620,10 +636,10 @@
         self.channel.forget(now - self.settings.way_most - self.settings.way_most - CHANNEL_SILENT);
         let past = now - self.settings.messages_window;
         self.proxies.values_mut().for_each(|proxy| proxy.written.retain(|at| *at >= past));
+        let mut orders = Orders::default();
         if self.messages_used(self.proxies.keys()) > 1.0 {
             return;
         }
-        let mut orders = Orders::default();
         self.shut_the_leaving(&mut orders);
         self.weigh(now);
         if self.settings.slices > 0 {
@@ -781,11 +797,10 @@
             if (weight - old).abs() > RESEND_SHARE * old {
                 // Traffic moved for each line it costs; one not named yet counts whole: else a grown fleet
                 // idles.
-                let used = known.is_some_and(Server::open);
                 let home = |server: &&Server| scheme.zone == server.entry.zone;
                 let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size) * scale;
                 let moved = (weight - old).abs().max(whole);
-                let size = if used { rate * moved / (total * scale) } else { 0.0 };
+                let size = if known.is_some_and(Server::open) { rate * moved / (total * scale) } else { 0.0 };
                 changes.push(Change { scheme, server, weight, guard, size });
             }
         }
@@ -904,31 +919,10 @@
     tables.map(scheme).collect()
 }
 
-/// Each zone's share of the whole; none of nothing.
-fn shares(values: impl Iterator<Item = (ZoneId, f64)>) -> Zones {
-    let (mut zones, mut all) = (Zones::new(), 0.0);
-    for (zone, value) in values.filter(|(_, value)| *value > 0.0) {
-        *zones.entry(zone).or_default() += value;
-        all += value;
-    }
-    zones.values_mut().for_each(|value| *value /= all);
-    zones
-}
-
-/// How far a value lies on the way from none to full.
-fn full(value: f64, (from, to): (f64, f64)) -> f64 {
-    clamp01((value - from) / (to - from))
-}
-
-/// How many times longer probes take now than they usually do.
-fn slowed(server: &Server) -> Option<f64> {
-    Some(server.speed.probes.mean()? / server.probes_now.mean()?)
-}
-
 /// What proxies met at a server: the share of failed tries beyond the usual, less its standard error, and the
 /// time of good answers against the usual. A saturated server's failures count less: the next would fill.
-fn met(server: &Server, zones: &References, probes_count: bool) -> (f64, f64) {
-    let probed = if probes_count { server.probing.failed } else { 0.0 };
+fn met(server: &Server, zones: &References) -> (f64, f64) {
+    let probed = server.probing.failed;
     let (mut tries, mut failed, mut good, mut took) =
         (PRIOR_TRIES + probed, probed, PRIOR_TRIES, PRIOR_TRIES);
     for (zone, evidence) in &server.heard {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -110,6 +110,10 @@
     pub fn open(&self) -> bool {
         self.entry.life == Lifecycle::InService && !self.shut
     }
+    /// How many times longer probes take now than they usually do.
+    pub fn slowed(&self) -> Option<f64> {
+        Some(self.speed.probes.mean()? / self.probes_now.mean()?)
+    }
     /// The listed weight, never quite nothing.
     pub fn size(&self) -> f64 {
         self.entry.weight.max(f64::MIN_POSITIVE)
@@ -250,6 +254,12 @@
     value.clamp(0.0, 1.0)
 }
 
+/// What is seen of failures and times, or else what is given. Where every try fails no time is seen, and the failures
+/// tell all the same.
+pub(crate) fn or(seen: (Option<f64>, Option<f64>), given: (f64, f64)) -> (f64, f64) {
+    (seen.0.unwrap_or(given.0), seen.1.unwrap_or(given.1))
+}
+
 /// The value below which the given share of the values lies; none of none.
 pub(crate) fn quantile(values: impl Iterator<Item = f64>, share: f64) -> Option<f64> {
     let mut values: Vec<f64> = values.collect();
@@ -258,6 +268,22 @@
     values.get((last as f64 * share).round() as usize).copied()
 }
 
+/// Each zone's share of the whole; none of nothing.
+pub(crate) fn shares(values: impl Iterator<Item = (ZoneId, f64)>) -> Zones {
+    let (mut zones, mut all) = (Zones::new(), 0.0);
+    for (zone, value) in values.filter(|(_, value)| *value > 0.0) {
+        *zones.entry(zone).or_default() += value;
+        all += value;
+    }
+    zones.values_mut().for_each(|value| *value /= all);
+    zones
+}
+
+/// How far a value lies on the way from none to full.
+pub(crate) fn full(value: f64, (from, to): (f64, f64)) -> f64 {
+    clamp01((value - from) / (to - from))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/policy/tests/size.rs
+++ b/crates/policy/tests/size.rs
@@ -425,6 +425,43 @@
     assert!(share(1, 1) > 0.4, "zone 1 keeps to its own servers: {}", share(1, 1));
 }
 
+/// Seen on sockets: two zones were cut off from a supervisor's own. Nine tenths of the requests were refused for a jam
+/// that was none, and once the way was back all servers beyond it were withdrawn for what had failed meanwhile.
+#[test]
+fn a_zone_cut_off_is_left_alone_refuses_nobody_and_is_blamed_for_nothing_later() {
+    let mut world = World::new(settings(), 24, 6);
+    let met = |cut: bool| -> Vec<Event> {
+        let load = Load { queue: Some(0.0), ..Load::default() };
+        let tally = |id: u32| match cut && id % 2 == 1 {
+            true => heard(id, 8.0, 8.0, 0.0),
+            false => reporting(heard(id, 8.0, 0.0, 200.0), load),
+        };
+        (0..24).map(tally).collect()
+    };
+    world.run(6, &met(false));
+    world.mute.extend((0..24).filter(|id| id % 2 == 1));
+    // Tries on the way have not timed out yet.
+    world.run(2, &met(false));
+    let far = |world: &World| (0..24).filter(|id| id % 2 == 1).map(|id| world.weight(id)).sum::<f64>();
+    let near = |world: &World| (0..24).filter(|id| id % 2 == 0).map(|id| world.weight(id)).sum::<f64>();
+    assert!(far(&world) < 0.1 * near(&world), "{} of {}", far(&world), near(&world));
+    world.actions.clear();
+    world.run(6, &met(true));
+    assert!(world.levels.values().all(|level| *level == 1.0), "{:?}", world.levels);
+    // The way is back; its servers answer one after the other, and the last tries that failed are told late.
+    for back in [1, 3, 5, 7, 9] {
+        world.mute.remove(&back);
+    }
+    world.run(1, &met(true));
+    world.mute.clear();
+    world.run(6, &met(false));
+    assert!(far(&world) > 0.8 * near(&world), "{} of {}", far(&world), near(&world));
+    let blamed =
+        world.actions.iter().filter(|a| matches!(a, Action::Log(text) if text.contains("Withdrawn")));
+    assert_eq!(blamed.count(), 0);
+    assert!(world.levels.values().all(|level| *level == 1.0), "{:?}", world.levels);
+}
+
 #[test]
 fn odd_lists_and_events_of_the_unknown_are_borne() {
     let mut site = Site::started(sparse(), 1.0, 100, 200);
