--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -135,6 +135,9 @@
         if end == ProbeEnd::Done {
             let speed = 1.0 / (took.secs() - way).max(took.secs() / 4.0).max(1e-6);
             self.speed.probes.add(speed.powi(QUICK + 1), speed.powi(QUICK));
+            // Danger: one that idled, as a new one does, would pass for saturated once it has work.
+            let works = self.heard.values().map(|met| clamp01(met.failed.weight)).fold(0.0, f64::max);
+            self.speed.at_work.add(works * speed.powi(QUICK + 1), works * speed.powi(QUICK));
             self.probes_now.add(speed, 1.0);
             self.quickest = if self.quickest > 0.0 { self.quickest.min(took.secs()) } else { took.secs() };
             self.probing.failing = 0;
@@ -352,9 +355,8 @@
         let probes_count = median_mute <= 1.0 - PROBES_ANSWERED.0;
         let zones = self.references();
         let failing = zones.values().map(|zone| zone.0).reduce(f64::min).unwrap_or(0.0);
-        if probes_count && failing > NARROW_FROM.0 && self.admission.strain < REFUSE.0 {
-            self.narrowed = Some(now);
-        }
+        let narrow = probes_count && failing > NARROW_FROM.0 && self.admission.strain < REFUSE.0;
+        self.narrowed = if narrow { Some(now) } else { self.narrowed };
         let usual: Zones =
             self.zones().filter_map(|zone| Some((zone, self.median(Some(zone), Server::slowed)?))).collect();
         // Terms count by what the others can take: work moved off a server of a full fleet jams the next.
@@ -464,7 +466,7 @@
     /// How fast each server is for its listed weight, against the fleet's, or, where listed weights are
     /// registered capacities, which hold the kind's speed, against its kind's; 1 where nothing tells.
     fn speeds(&self) -> Lines {
-        let gauge = |Speed { probes, service }: &Speed| {
+        let gauge = |Speed { probes, service, .. }: &Speed| {
             let served = || service.mean().map(|ms| (1.0 / ms, service.weight));
             probes.mean().map(|speed| (speed, PROBE_WORTH)).or_else(served)
         };
@@ -591,7 +593,7 @@
         let aim = (aims / self.settings.classes.len().max(1) as f64).max(1.0);
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
         // A queue is told only when every answer is late: probe times and time-outs show what waits before.
-        let shared = self.median(None, |server| server.speed.service.mean().and(server.slowed()));
+        let shared = self.median(None, |server| server.speed.service.mean().and(server.loaded()));
         let shared = full(shared.unwrap_or(1.0), BUSY_STRETCH);
         let failing = quantile(zones.values().map(failing), 0.5).unwrap_or(0.0);
         let term = if told > 0.0 { (busy / told).max(shared).max(mute) } else { failing };
@@ -601,7 +603,11 @@
         let refused = REFUSE.1 * clamp01((admission.strain - REFUSE.0) / (1.0 - REFUSE.0));
         let step = |refused: f64| (10.0 * refused).round();
         if step(refused) != step(admission.refused) && self.settings.levels != LevelKind::Silent {
-            out.push(Action::Log(format!("refuses {:.1}, fleet saturated {:.2}", refused, admission.strain)));
+            let terms = format!("queues {:.2} probes {shared:.2} mute {mute:.2}", busy / told.max(1.0));
+            out.push(Action::Log(format!(
+                "refuses {refused:.1}, saturated {:.2}: {terms}",
+                admission.strain
+            )));
         }
         admission.refused = refused;
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -52,16 +52,17 @@
     pub cost: Fading,
 }
 
-/// What tells a server's speed: probes, in probes a second of their own time, and service time.
+/// What tells a server's speed: probes, in probes a second of their own time, those while it had work, and service time.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Speed {
     pub probes: Fading,
+    pub at_work: Fading,
     pub service: Fading,
 }
 
 impl Speed {
     pub fn fade(&mut self, elapsed: f64, half_life: f64) {
-        for part in [&mut self.probes, &mut self.service] {
+        for part in [&mut self.probes, &mut self.at_work, &mut self.service] {
             part.fade(elapsed, half_life);
         }
     }
@@ -114,6 +115,10 @@
     pub fn slowed(&self) -> Option<f64> {
         Some(self.speed.probes.mean()? / self.probes_now.mean()?)
     }
+    /// How many times longer probes take now than they usually do while there is work.
+    pub fn loaded(&self) -> Option<f64> {
+        Some(self.speed.at_work.mean()? / self.probes_now.mean()?)
+    }
     /// The listed weight, never quite nothing.
     pub fn size(&self) -> f64 {
         self.entry.weight.max(f64::MIN_POSITIVE)
