--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -588,26 +588,24 @@
     /// are late. Danger: clients come again, and a fleet once full stays full. No level outlasts its cause.
     fn admit(&mut self, elapsed: f64, zones: &References, mute: f64, out: &mut Vec<Action>) {
         let told = self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight);
-        let (busy, told) = told.fold((0.0, 0.0f64), |(sum, n), busy| (sum + busy, n + 1.0));
+        let (busy, told) =
+            told.fold((0.0, 0.0f64), |(mean, n), one| (mean + (one - mean) / (n + 1.0), n + 1.0));
         let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
         let aim = (aims / self.settings.classes.len().max(1) as f64).max(1.0);
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
         // A queue is told only when every answer is late: probe times and time-outs show what waits before.
-        let shared = self.median(None, |server| server.speed.service.mean().and(server.loaded()));
-        let shared = full(shared.unwrap_or(1.0), BUSY_STRETCH);
+        let shared = self.median(None, |s| s.speed.service.mean().and(s.loaded())).unwrap_or(1.0);
+        let shared = full(shared, BUSY_STRETCH);
         let failing = quantile(zones.values().map(failing), 0.5).unwrap_or(0.0);
-        let term = if told > 0.0 { (busy / told).max(shared).max(mute) } else { failing };
+        let term = if told > 0.0 { busy.max(shared).max(mute) } else { failing };
         let admission = &mut self.admission;
         admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE));
         admission.strain = -smooth(-admission.strain, -term);
         let refused = REFUSE.1 * clamp01((admission.strain - REFUSE.0) / (1.0 - REFUSE.0));
         let step = |refused: f64| (10.0 * refused).round();
         if step(refused) != step(admission.refused) && self.settings.levels != LevelKind::Silent {
-            let terms = format!("queues {:.2} probes {shared:.2} mute {mute:.2}", busy / told.max(1.0));
-            out.push(Action::Log(format!(
-                "refuses {refused:.1}, saturated {:.2}: {terms}",
-                admission.strain
-            )));
+            let by = format!("queues {busy:.2} probes {shared:.2} mute {mute:.2}");
+            out.push(Action::Log(format!("refuses {refused:.1}, saturated {:.2}: {by}", admission.strain)));
         }
         admission.refused = refused;
     }
