--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -588,8 +588,7 @@
     /// are late. Danger: clients come again, and a fleet once full stays full. No level outlasts its cause.
     fn admit(&mut self, elapsed: f64, zones: &References, mute: f64, out: &mut Vec<Action>) {
         let told = self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight);
-        let (busy, told) =
-            told.fold((0.0, 0.0f64), |(mean, n), one| (mean + (one - mean) / (n + 1.0), n + 1.0));
+        let (busy, told) = told.fold((0.0, 0.0), |(all, n), one| ((all * n + one) / (n + 1.0), n + 1.0));
         let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
         let aim = (aims / self.settings.classes.len().max(1) as f64).max(1.0);
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
