--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -204,9 +204,7 @@
         let mut out = Vec::new();
         if !std::mem::replace(&mut self.started, true) {
             self.ticked = now;
-            if self.settings.list_on_request {
-                out.push(Action::Subscribe(true));
-            }
+            out.extend(self.settings.list_on_request.then_some(Action::Subscribe(true)));
             // Instances that tick in step would act in step on the same reports.
             let first = Micros(TICK.0 / 2 + (self.seed % (TICK.0 as u64 / 2)) as i64);
             out.push(Action::Timer { id: TICK_TIMER, after: first });
@@ -339,9 +337,7 @@
     fn tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         let elapsed = (now - self.ticked).secs().max(0.0);
         self.ticked = now;
-        if self.subscribe_at.take_if(|at| *at <= now).is_some() {
-            out.push(Action::Subscribe(true));
-        }
+        out.extend(self.subscribe_at.take_if(|at| *at <= now).map(|_| Action::Subscribe(true)));
         self.further = self.way();
         // Failed probes blame no server while few are answered: the own process or the way there may fail.
         let mute = self.mute();
@@ -372,6 +368,7 @@
             let error = 1.0 - spare * clamp01(failing / ERROR_BUDGET);
             // Probe times now show a slowed machine whatever its model, answer times what probes do not meet.
             let probed = server.slowed().map(|now| now / at(&usual, &zone).unwrap_or(1.0));
+            server.slower = probed.unwrap_or(1.0).max(1.0); // What it can do has shrunk by as much.
             let ratio = probed.map_or(answers, |probed| probed.max(answers * ANSWERS_COUNT));
             let latency = 1.0 - spare * clamp01(ratio / LATENCY_BUDGET);
             let before = server.state;
@@ -491,7 +488,9 @@
             let speed = speeds.get(id).copied().unwrap_or(1.0).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
             let share = match server.state {
                 State::Full => 1.0,
-                State::Reduced => (server.score / RESTORE_ABOVE).clamp(LEAST_SHARE, 1.0),
+                State::Reduced => {
+                    (server.score / RESTORE_ABOVE).min(1.0 / server.slower).clamp(LEAST_SHARE, 1.0)
+                }
                 State::Withdrawn => 0.0,
             };
             server.weight = server.size() * speed * share.min(server.ceiling).min(server.warmth);
@@ -593,8 +592,9 @@
         let aim = (aims / self.settings.classes.len().max(1) as f64).max(1.0);
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
         // A queue is told only when every answer is late: probe times and time-outs show what waits before.
-        let shared = self.median(None, |s| s.speed.service.mean().and(s.loaded())).unwrap_or(1.0);
-        let shared = full(shared, BUSY_STRETCH);
+        // Danger: the own trouble of some, which have less weight for it, would pass for a common jam.
+        let well = |s: &Server| s.loaded().filter(|_| s.state == State::Full && s.speed.service.sum > 0.0);
+        let shared = full(self.median(None, well).unwrap_or(1.0), BUSY_STRETCH);
         let failing = quantile(zones.values().map(failing), 0.5).unwrap_or(0.0);
         let term = if told > 0.0 { busy.max(shared).max(mute) } else { failing };
         let admission = &mut self.admission;
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -92,6 +92,7 @@
     pub busy: Fading,
     pub last_load: Load,
     pub quickest: f64,
+    pub slower: f64,
     pub probing: Probing,
     pub state: State,
     pub score: f64,
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -160,3 +160,21 @@
         assert!(world.levels.values().all(|level| *level == 1.0), "{:?}", world.levels);
     }
 }
+
+/// Seen on sockets: twelve of thirty machines got slow one after the other, lost weight for it, and a third of all
+/// requests was refused while the others answered in time.
+#[test]
+fn machines_reduced_for_their_own_trouble_are_no_saturated_fleet() {
+    let mut world = World::new(settings(), 16, 4);
+    let answered = || -> Vec<Event> {
+        let load = |id: u32| Load { queue: Some(0.0), latency_ms: Some(f64::from(id)), ..Load::default() };
+        (0..16).map(|id| reporting(heard(id, 8.0, 0.0, 200.0), load(id))).collect()
+    };
+    world.run(10, &answered());
+    world.slowness = 6;
+    for first in [0, 3, 6] {
+        world.slow_probes.extend(first..first + 3);
+        world.run(5, &answered());
+        assert!(world.levels.values().all(|level| *level == 1.0), "{:?}", world.levels);
+    }
+}
