Addresses of servers that took no connection are forgotten once they are not tried any more

They go when they have not been tried for the settings' idle time, which is longer than any probe's pause, so the line is still said once. Test: twenty gone servers leave at most one entry (twenty without).

--- a/crates/supervisor/src/servers.rs
+++ b/crates/supervisor/src/servers.rs
@@ -1,7 +1,7 @@
 //! Probes of the servers, over connections that are kept.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -30,7 +30,8 @@
     connect_most: Duration,
     keep: Duration,
     kept: RefCell<HashMap<SocketAddr, (Sender, Instant)>>,
-    closed: RefCell<HashSet<SocketAddr>>,
+    /// Those that took no connection, and when that was last tried.
+    closed: RefCell<HashMap<SocketAddr, Instant>>,
     under_way: Cell<usize>,
 }
 
@@ -119,7 +120,8 @@
         Ok(answer)
     }
 
-    /// Opens a connection; of a server that takes none, only the first try leaves a line.
+    /// Opens a connection; of a server that takes none, only the first try leaves a line. One that is not tried any more,
+    /// as after its removal, is forgotten.
     async fn open(&self, address: SocketAddr, name: &str) -> Result<Sender, Ending> {
         let opened = http::open("server", name.to_string(), address, self.connect_most).await;
         let mut closed = self.closed.borrow_mut();
@@ -128,7 +130,8 @@
                 closed.remove(&address);
             }
             Err(reason) => {
-                if closed.insert(address) {
+                closed.retain(|_, tried| tried.elapsed() < self.keep);
+                if closed.insert(address, Instant::now()).is_none() {
                     tracing::info!(server = name, %reason, "server takes no connection");
                 }
             }
@@ -198,6 +201,20 @@
         assert_eq!(of(&[]), ProbeEnd::Unreachable);
     }
 
+    /// Danger: over months of replaced servers, the addresses of those that are gone add up.
+    #[test]
+    fn servers_that_are_gone_leave_nothing_behind() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let servers = Servers::new(true, Duration::from_secs(5), Duration::ZERO);
+            for port in 1..=20 {
+                let address = format!("127.0.0.1:{port}");
+                assert_eq!(servers.ask(&address).await.0, ProbeEnd::Unreachable);
+            }
+            assert!(servers.closed.borrow().len() <= 1 && servers.kept.borrow().is_empty());
+        });
+    }
+
     #[test]
     fn an_address_that_is_none_says_nothing_of_the_server() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
