--- a/crates/supervisor/src/servers.rs
+++ b/crates/supervisor/src/servers.rs
@@ -21,6 +21,8 @@
 const ANSWER_MOST: Duration = Duration::from_millis(300);
 /// Longest body of an answer, in bytes: a load report is one short line.
 const BODY_MOST: usize = 16 * 1024;
+/// A server that took no connection and was not tried again for so long is gone: many times the pause between probes.
+const TRIED_WITHIN: Duration = Duration::from_secs(60);
 /// Probes under way at most; what is due beyond is answered as an ending that says nothing of the server.
 const UNDER_WAY_MOST: usize = 256;
 
@@ -130,7 +132,7 @@
                 closed.remove(&address);
             }
             Err(reason) => {
-                closed.retain(|_, tried| tried.elapsed() < self.keep);
+                closed.retain(|_, tried| tried.elapsed() < TRIED_WITHIN);
                 if closed.insert(address, Instant::now()).is_none() {
                     tracing::info!(server = name, %reason, "server takes no connection");
                 }
@@ -206,12 +208,12 @@
     fn servers_that_are_gone_leave_nothing_behind() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         tokio::task::LocalSet::new().block_on(&runtime, async {
-            let servers = Servers::new(true, Duration::from_secs(5), Duration::ZERO);
-            for port in 1..=20 {
-                let address = format!("127.0.0.1:{port}");
-                assert_eq!(servers.ask(&address).await.0, ProbeEnd::Unreachable);
-            }
-            assert!(servers.closed.borrow().len() <= 1 && servers.kept.borrow().is_empty());
+            let servers = Servers::new(true, Duration::from_secs(5), Duration::from_secs(60));
+            let gone =
+                |port: u16| (SocketAddr::from(([127, 0, 0, 1], port)), Instant::now() - 2 * TRIED_WITHIN);
+            servers.closed.borrow_mut().extend((1..=20).map(gone));
+            assert_eq!(servers.ask("127.0.0.1:21").await.0, ProbeEnd::Unreachable);
+            assert_eq!(servers.closed.borrow().keys().map(SocketAddr::port).collect::<Vec<_>>(), [21]);
         });
     }
 
