Reread: one check of zones and proxies, one reader of the configuration, a plainer test of a lagging list

No change in behaviour. Engine: joining and naming oneself are checked by the same two functions. config.rs: start and reload read the file through one function. list.rs: one impl block, the lag of an agent without derived flags. clients.rs: a usage report is passed on instead of taken apart and made anew. A comment of the descriptor budget said that servers are in the settings; they are not.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -184,11 +184,7 @@
                 Event::Members(kind, entries)
             }
             Report::Joined { stream, proxy, zone, rate, new } => {
-                let zone = self.zone(zone)?;
-                let id = ProxyId(proxy);
-                if proxy as usize >= self.proxies {
-                    return Err(Unknown::Proxy(proxy));
-                }
+                let (zone, id) = (self.zone(&zone)?, self.proxy(proxy)?);
                 if self.streams.of(id).is_some() {
                     self.events.push(Event::Left(id));
                 }
@@ -198,7 +194,7 @@
             Report::Left(stream) => Event::Left(self.streams.leave(stream).ok_or(Unknown::Stream)?),
             Report::Outcomes { zone, server, tries, failed, mean_ms, period, load } => {
                 let (zone, server) =
-                    (self.zone(zone)?, self.names.server(&server).ok_or(Unknown::Server(server))?);
+                    (self.zone(&zone)?, self.names.server(&server).ok_or(Unknown::Server(server))?);
                 Event::Heard { zone, server, tries, failed, mean_ms, period, load }
             }
             Report::Demand { proxy, class, came, failed, period } => {
@@ -220,18 +216,20 @@
         Ok(())
     }
 
-    fn zone(&self, name: String) -> Result<ZoneId, Unknown> {
-        let known = self.names.zone(&name).filter(|zone| usize::from(zone.0) < self.zones);
-        known.ok_or(Unknown::Zone(name))
+    fn zone(&self, name: &str) -> Result<ZoneId, Unknown> {
+        let known = self.names.zone(name).filter(|zone| usize::from(zone.0) < self.zones);
+        known.ok_or_else(|| Unknown::Zone(name.to_string()))
+    }
+
+    fn proxy(&self, number: u32) -> Result<ProxyId, Unknown> {
+        let known = Some(ProxyId(number)).filter(|_| (number as usize) < self.proxies);
+        known.ok_or(Unknown::Proxy(number))
     }
 
     /// Whether the settings hold this zone and, if one is given, this proxy.
     pub fn knows(&self, zone: &str, proxy: Option<u32>) -> Result<(), Unknown> {
-        self.zone(zone.to_string())?;
-        match proxy.filter(|proxy| *proxy as usize >= self.proxies) {
-            Some(proxy) => Err(Unknown::Proxy(proxy)),
-            None => Ok(()),
-        }
+        self.zone(zone)?;
+        proxy.map_or(Ok(()), |proxy| self.proxy(proxy).map(|_| ()))
     }
 
     /// How many proxies, and how many zones, the settings hold.
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -140,23 +140,25 @@
     assert_eq!(world.levels[&0], 1.0);
 }
 
+/// A second of servers that report no queue and the time of their answers.
+fn unqueued(ids: std::ops::Range<u32>) -> Vec<Event> {
+    let load = |id: u32| Load { queue: Some(0.0), latency_ms: Some(f64::from(id)), ..Load::default() };
+    ids.map(|id| reporting(heard(id, 8.0, 0.0, 200.0), load(id))).collect()
+}
+
 /// Seen on sockets: during a release the new servers were probed while they idled; as they took the work over, each probe
 /// took twice as long and a third of the requests was refused though no queue stood anywhere.
 #[test]
 fn new_servers_that_idled_do_not_pass_for_a_saturated_fleet_once_they_have_work() {
     let mut world = World::new(settings(), 8, 4);
-    let answered = |ids: std::ops::Range<u32>| -> Vec<Event> {
-        let load = |id: u32| Load { queue: Some(0.0), latency_ms: Some(f64::from(id)), ..Load::default() };
-        ids.map(|id| reporting(heard(id, 8.0, 0.0, 200.0), load(id))).collect()
-    };
-    world.run(6, &answered(0..8));
+    world.run(6, &unqueued(0..8));
     let list = |gone: u32, until: u32| Event::Members(ListKind::Complete, (gone..until).map(entry).collect());
     world.send(&[list(0, 20)]);
-    world.run(6, &answered(0..8));
+    world.run(6, &unqueued(0..8));
     world.send(&[list(8, 20)]);
     world.slow_probes.extend(8..20);
     for _ in 0..8 {
-        world.run(1, &answered(8..20));
+        world.run(1, &unqueued(8..20));
         assert!(world.levels.values().all(|level| *level == 1.0), "{:?}", world.levels);
     }
 }
@@ -166,15 +168,11 @@
 #[test]
 fn machines_reduced_for_their_own_trouble_are_no_saturated_fleet() {
     let mut world = World::new(settings(), 16, 4);
-    let answered = || -> Vec<Event> {
-        let load = |id: u32| Load { queue: Some(0.0), latency_ms: Some(f64::from(id)), ..Load::default() };
-        (0..16).map(|id| reporting(heard(id, 8.0, 0.0, 200.0), load(id))).collect()
-    };
-    world.run(10, &answered());
+    world.run(10, &unqueued(0..16));
     world.slowness = 6;
     for first in [0, 3, 6] {
         world.slow_probes.extend(first..first + 3);
-        world.run(5, &answered());
+        world.run(5, &unqueued(0..16));
         assert!(world.levels.values().all(|level| *level == 1.0), "{:?}", world.levels);
     }
 }
--- a/crates/supervisor/src/clients.rs
+++ b/crates/supervisor/src/clients.rs
@@ -86,9 +86,9 @@
                 hub.report(Report::Ack { stream, mark: seq, took: ms });
                 None
             }
-            Message::Told(Report::Demand { proxy, class, came, failed, period }) if proxy == id => {
+            Message::Told(report) if matches!(report, Report::Demand { proxy, .. } if proxy == id) => {
                 expected.usage.set(true);
-                hub.report(Report::Demand { proxy, class, came, failed, period });
+                hub.report(report);
                 None
             }
             Message::Other => None,
--- a/crates/supervisor/src/config.rs
+++ b/crates/supervisor/src/config.rs
@@ -110,8 +110,7 @@
 pub fn from_env() -> Result<(Config, Source), Fault> {
     let var = |key: &str| std::env::var(key).ok().filter(|value| !value.is_empty());
     let path = var("LB_CONFIG").ok_or(Fault::Missing("LB_CONFIG"))?;
-    let text = std::fs::read(&path).map_err(|fault| Fault::File(path.clone(), fault))?;
-    let said: File = serde_json::from_slice(&text)?;
+    let said = load(&path)?;
     let config = read(said.clone(), var)?;
     let discovery = config.discovery;
     Ok((config, Source { path, said, discovery }))
@@ -121,8 +120,7 @@
     /// Reads the file anew; on a fault nothing changes. The list that it holds as known is older than what discovery has
     /// told, and the seed is for a start: neither is looked at.
     pub fn reload(&mut self) -> Result<Reloaded, Fault> {
-        let text = std::fs::read(&self.path).map_err(|fault| Fault::File(self.path.clone(), fault))?;
-        self.take(serde_json::from_slice(&text)?)
+        self.take(load(&self.path)?)
     }
 
     fn take(&mut self, now: File) -> Result<Reloaded, Fault> {
@@ -146,6 +144,11 @@
     }
 }
 
+fn load(path: &str) -> Result<File, Fault> {
+    let text = std::fs::read(path).map_err(|fault| Fault::File(path.to_string(), fault))?;
+    Ok(serde_json::from_slice(&text)?)
+}
+
 fn settings(file: &File) -> Result<Settings, Fault> {
     let settings = chutegrade_settings::from_json(&file.settings)?;
     if settings.slices > 0 {
--- a/crates/supervisor/src/list.rs
+++ b/crates/supervisor/src/list.rs
@@ -29,7 +29,6 @@
 const LIST_MOST: usize = 16 * 1024 * 1024;
 /// Waits before discovery is asked again, doubled from the first to the last.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
-
 /// A list that stays older than what is known for so long has begun to count anew: news is nowhere later than this.
 const BEHIND_MOST: Duration = Duration::from_secs(6);
 
@@ -171,23 +170,23 @@
         self.hub.report(Report::List(kind, entries));
         Ok(())
     }
-}
 
-impl List {
     /// Whether a version is older than what is known. Danger: an agent that lags, as one at a new address may, tells of
     /// a server that drains as if it were up.
     fn is_behind(&mut self, index: u64) -> bool {
-        let older = self.index.is_some_and(|known| index < known);
-        if !older {
+        if self.index.is_none_or(|known| index >= known) {
             self.behind = None;
-        } else if self.behind.is_none() {
-            tracing::warn!(index, known = self.index, "discovery is behind what it told before");
+            return false;
         }
-        let anew = older && self.behind.get_or_insert_with(Instant::now).elapsed() >= BEHIND_MOST;
+        let since = self.behind.get_or_insert_with(|| {
+            tracing::warn!(index, known = self.index, "discovery is behind what it told before");
+            Instant::now()
+        });
+        let anew = since.elapsed() >= BEHIND_MOST;
         if anew {
             self.behind = None;
         }
-        older && !anew
+        !anew
     }
 }
 
--- a/crates/supervisor/src/listener.rs
+++ b/crates/supervisor/src/listener.rs
@@ -87,8 +87,8 @@
     }
 }
 
-/// How many may be there without having said who they are: half of what remains once each proxy, collector and server
-/// that the settings hold has its descriptor; the other half is for servers, whose number only the list tells.
+/// How many may be there without having said who they are: half of what remains once each proxy and collector that the
+/// settings hold has its descriptor; the other half is for servers, whose number only the list tells.
 fn strangers(sockets: usize, proxies: usize, zones: usize) -> usize {
     let peers = OWN_DESCRIPTORS + proxies + zones * PER_ZONE;
     (sockets.saturating_sub(peers) / 2).max(STRANGERS_LEAST)
