Typed records, their crash-safe store, and a scheduler for background work

Change: crates/records has the schema (proto/records.proto), frames that survive a cut or flipped bits at any byte, segments of one start each under a lock that dies with its process, a lock-free queue to a writer thread with group commit, an index by time, kind and server, sums of every ten seconds in a sketch, retention, and readers that merge several supervisors in true order, tell clocks that are off, and mark every interval of which not all is known. crates/background runs jobs by priority within budgets that hold over any ten seconds.

--- /dev/null
+++ b/crates/records/benches/store.rs
@@ -0,0 +1,218 @@
+//! The store: what a record costs on the ticking thread, how fast it is appended and recovered, and a window of eight
+//! minutes out of a day, by the index and by a plain scan; the same day in two libraries beside it.
+
+use std::hint::black_box;
+use std::path::Path;
+use std::time::Duration;
+
+use chutegrade_background::Cost;
+use chutegrade_records::index::{self, Query};
+use chutegrade_records::jobs::{self, Retention, Shared};
+use chutegrade_records::pb::{self, Record};
+use chutegrade_records::recorder::{begin, Options};
+use chutegrade_records::segment;
+use chutegrade_records::store::Store;
+use chutegrade_records::timeline::Timeline;
+use chutegrade_records::{frame, Kind};
+use criterion::{criterion_group, criterion_main, BatchSize, Criterion, Throughput};
+use prost::Message;
+use redb::ReadableTable as _;
+
+const DAY: u64 = 1_000_000;
+const DAY_US: i64 = 86_400_000_000;
+const MINUTE_US: i64 = 60_000_000;
+const KEEP: Retention = Retention { bytes: 1 << 40, age: Duration::from_secs(1 << 30) };
+const FREELY: Cost = Cost { time: Duration::from_secs(10), bytes: 1 << 40 };
+
+fn state(n: u64) -> Kind {
+    Kind::StateChanged(pb::StateChanged {
+        server: format!("s-{:08x}", n % 325),
+        zone: "a".to_string(),
+        score: 0.4,
+        errors: 1.0,
+        latency: 0.2,
+        ..pb::StateChanged::default()
+    })
+}
+
+fn record(n: u64) -> Record {
+    let at_us = (n as i64) * (DAY_US / DAY as i64);
+    Record { seq: n + 1, at_us, learned_us: at_us, kind: Some(state(n)) }
+}
+
+fn framed(records: impl Iterator<Item = u64>) -> Vec<u8> {
+    let mut out = Vec::new();
+    records.for_each(|n| {
+        frame::put(&mut out, &record(n).encode_to_vec());
+    });
+    out
+}
+
+fn write_day(directory: &Path) {
+    let mut store = Store::open(directory, "n0").expect("a store");
+    for batch in 0..DAY / 2000 {
+        let frames = framed(batch * 2000..(batch + 1) * 2000);
+        store.append(&frames, batch * 2000 + 1, 0).expect("an append");
+    }
+    store.commit().expect("a commit");
+    let shared = Shared::default();
+    shared.set_writing(store.writing());
+    for mut job in jobs::all(directory, KEEP, &shared) {
+        while job.step().1 == chutegrade_background::Left::More {}
+    }
+}
+
+fn note(c: &mut Criterion) {
+    let directory = tempfile::tempdir().expect("a directory");
+    let options = Options {
+        directory: directory.path().to_path_buf(),
+        supervisor: "n0".into(),
+        retention: KEEP,
+        budget: FREELY,
+    };
+    let (recorder, recording) = begin(options, || 0).expect("threads");
+    // Batches that fit the queue, with pauses for the writer, as turns of the decisions are.
+    c.bench_function("note one record", |b| {
+        b.iter_batched(
+            || {
+                std::thread::sleep(Duration::from_millis(60));
+                (0..2000).map(state).collect::<Vec<_>>()
+            },
+            |kinds| kinds.into_iter().for_each(|kind| recorder.note(1, 1, black_box(kind))),
+            BatchSize::PerIteration,
+        )
+    });
+    recording.close();
+}
+
+fn append(c: &mut Criterion) {
+    let mut group = c.benchmark_group("append and commit 100,000 records");
+    group.sample_size(10).throughput(Throughput::Elements(100_000));
+    group.bench_function("segments", |b| {
+        b.iter_batched(
+            || tempfile::tempdir().expect("a directory"),
+            |directory| {
+                let mut store = Store::open(directory.path(), "n0").expect("a store");
+                for batch in 0..50 {
+                    let frames = framed(batch * 2000..(batch + 1) * 2000);
+                    store.append(&frames, 1, 0).expect("an append");
+                }
+                store.commit().expect("a commit");
+                directory
+            },
+            BatchSize::PerIteration,
+        )
+    });
+    group.bench_function("redb", |b| {
+        b.iter_batched(
+            || tempfile::tempdir().expect("a directory"),
+            |directory| {
+                let database = redb::Database::create(directory.path().join("r")).expect("a database");
+                let write = database.begin_write().expect("a transaction");
+                {
+                    let mut table = write.open_table(TABLE).expect("a table");
+                    for n in 0..100_000 {
+                        table.insert(n, record(n).encode_to_vec().as_slice()).expect("an insert");
+                    }
+                }
+                write.commit().expect("a commit");
+                directory
+            },
+            BatchSize::PerIteration,
+        )
+    });
+    group.bench_function("fjall", |b| {
+        b.iter_batched(
+            || tempfile::tempdir().expect("a directory"),
+            |directory| {
+                let keyspace = fjall::Config::new(directory.path()).open().expect("a keyspace");
+                let records = keyspace.open_partition("r", Default::default()).expect("a partition");
+                for n in 0..100_000u64 {
+                    records.insert(n.to_be_bytes(), record(n).encode_to_vec()).expect("an insert");
+                }
+                keyspace.persist(fjall::PersistMode::SyncData).expect("a commit");
+                directory
+            },
+            BatchSize::PerIteration,
+        )
+    });
+    group.finish();
+}
+
+const TABLE: redb::TableDefinition<u64, &[u8]> = redb::TableDefinition::new("records");
+
+/// Opening after a crash: a look at the last segment; the whole day is what a reader without indexes does.
+fn recover(c: &mut Criterion) {
+    let directory = tempfile::tempdir().expect("a directory");
+    write_day(directory.path());
+    let mut group = c.benchmark_group("recover a day of 1,000,000 records");
+    group.sample_size(10);
+    group.bench_function("next start of the writer", |b| {
+        b.iter(|| Store::open(directory.path(), "n0").expect("a store").recovered().expect("a look"))
+    });
+    group.bench_function("every segment scanned", |b| {
+        b.iter(|| {
+            let listed = segment::list(directory.path()).expect("a list");
+            listed
+                .into_iter()
+                .map(|id| {
+                    let bytes = segment::bytes(&id.path(directory.path()), 0, u64::MAX).expect("its bytes");
+                    index::build(id, &bytes).records
+                })
+                .sum::<u64>()
+        })
+    });
+    group.finish();
+}
+
+fn window(c: &mut Criterion) {
+    let directory = tempfile::tempdir().expect("a directory");
+    write_day(directory.path());
+    let from = 9 * 60 * MINUTE_US + 12 * MINUTE_US;
+    let query = Query::between(from, from + 8 * MINUTE_US);
+    let timeline = Timeline::open(&[directory.path().to_path_buf()]).expect("a timeline");
+    let wanted = timeline.read(&query).0.len();
+    let mut group = c.benchmark_group("8 minutes of a day");
+    group.sample_size(10);
+    group.bench_function("index", |b| b.iter(|| assert_eq!(timeline.read(&query).0.len(), wanted)));
+    group.bench_function("index, opened each time", |b| {
+        b.iter(|| {
+            let timeline = Timeline::open(&[directory.path().to_path_buf()]).expect("a timeline");
+            assert_eq!(timeline.read(&query).0.len(), wanted);
+        })
+    });
+    group.bench_function("scan", |b| {
+        b.iter(|| {
+            let listed = segment::list(directory.path()).expect("a list");
+            let found: usize = listed.into_iter().map(|id| {
+                let bytes = segment::bytes(&id.path(directory.path()), 0, u64::MAX).expect("its bytes");
+                let items = segment::items(&bytes, 0);
+                items.filter(|(_, item)| matches!(item, segment::Item::Record { read, .. } if query.holds(&read.record, read.number))).count()
+            }).sum();
+            assert_eq!(found, wanted);
+        })
+    });
+    let database = redb::Database::create(directory.path().join("r")).expect("a database");
+    let write = database.begin_write().expect("a transaction");
+    {
+        // Keyed by time, which here is that of the event, so that a range is a window.
+        let mut table = write.open_table(TABLE).expect("a table");
+        for n in 0..DAY {
+            table.insert(record(n).at_us as u64, record(n).encode_to_vec().as_slice()).expect("an insert");
+        }
+    }
+    write.commit().expect("a commit");
+    group.bench_function("redb, keyed by time", |b| {
+        b.iter(|| {
+            let read = database.begin_read().expect("a transaction");
+            let table = read.open_table(TABLE).expect("a table");
+            let range = table.range(from as u64..=(from + 8 * MINUTE_US) as u64).expect("a range");
+            let decoded = range.map(|row| Record::decode(row.expect("a row").1.value()).expect("a record"));
+            assert_eq!(decoded.count(), wanted);
+        })
+    });
+    group.finish();
+}
+
+criterion_group!(benches, note, append, recover, window);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/records/build.rs
@@ -0,0 +1,14 @@
+//! Compiles the schema of the records.
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("cargo:rerun-if-changed=../../proto/records.proto");
+    let files = protox::compile(["records.proto"], ["../../proto"])?;
+    let mut config = prost_build::Config::new();
+    config.btree_map(["."]);
+    config.type_attribute(".", "#[derive(serde::Serialize)]");
+    config.type_attribute(".", "#[allow(missing_docs)]");
+    config.field_attribute(".", "#[allow(missing_docs)]");
+    config.enum_attribute(".", "#[allow(missing_docs)]");
+    config.compile_fds(files)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/records/src/clock.rs
@@ -0,0 +1,85 @@
+//! Whether two supervisors' clocks differ, told from what both learn of at about the same time: the list's news of a
+//! server. Nothing is shifted unless enough of it agrees.
+
+use std::collections::BTreeMap;
+
+use crate::pb::{record::Kind, Record};
+
+/// Kinds of which all supervisors learn alike, by number.
+pub const SHARED: [u32; 1] = [21];
+/// News that both tell of, from which a difference is believed.
+const PAIRS_LEAST: usize = 3;
+/// A difference below this is the list's own lateness, in microseconds.
+const AHEAD_LEAST_US: i64 = 1_000_000;
+/// Half of the differences must lie this close to their median, in microseconds. Danger: a list that reaches one
+/// supervisor late for one server would shift all that it recorded.
+const SPREAD_MOST_US: i64 = 500_000;
+
+/// What one supervisor learned of the list, and when.
+#[derive(Clone, Debug, Default)]
+pub struct Marks(BTreeMap<(String, i32), Vec<i64>>);
+
+impl Marks {
+    /// Takes in a record.
+    pub fn add(&mut self, record: &Record) {
+        if let Some(Kind::LifeChanged(of)) = &record.kind {
+            self.0.entry((of.server.clone(), of.life)).or_default().push(record.at_us);
+        }
+    }
+}
+
+fn median(values: &mut [i64]) -> Option<i64> {
+    values.sort_unstable();
+    values.get(values.len() / 2).copied()
+}
+
+/// How far the second clock is ahead of the first, in microseconds, and by how many pieces of news; 0 where they agree or
+/// nothing can be told. News that one of them tells of more often, as after a restart, says nothing.
+pub fn ahead(first: &Marks, second: &Marks) -> (i64, usize) {
+    let pairs = first.0.iter().filter_map(|(news, times)| {
+        let theirs = second.0.get(news)?;
+        (times.len() == theirs.len()).then(|| theirs.iter().zip(times).map(|(b, a)| b.saturating_sub(*a)))
+    });
+    let mut differences: Vec<i64> = pairs.flatten().collect();
+    let count = differences.len();
+    let Some(middle) = median(&mut differences).filter(|_| count >= PAIRS_LEAST) else { return (0, 0) };
+    let mut spread: Vec<i64> =
+        differences.iter().map(|one| one.saturating_sub(middle).saturating_abs()).collect();
+    let close = median(&mut spread).is_some_and(|spread| spread <= SPREAD_MOST_US);
+    if close && middle.saturating_abs() >= AHEAD_LEAST_US {
+        (middle, count)
+    } else {
+        (0, count)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::pb::LifeChanged;
+
+    fn marks(news: &[(&str, i64)]) -> Marks {
+        let mut marks = Marks::default();
+        for (server, at_us) in news {
+            let of = LifeChanged { server: server.to_string(), life: 1, ..Default::default() };
+            marks.add(&Record { at_us: *at_us, kind: Some(Kind::LifeChanged(of)), ..Record::default() });
+        }
+        marks
+    }
+
+    #[test]
+    fn a_clock_ahead_is_told_from_shared_news() {
+        let first = marks(&[("a", 1_000_000), ("b", 5_000_000), ("c", 9_000_000), ("d", 20_000_000)]);
+        let second = marks(&[("a", 4_010_000), ("b", 7_990_000), ("c", 12_000_000), ("d", 30_000_000)]);
+        assert_eq!(ahead(&first, &second), (3_010_000, 4));
+        assert_eq!(ahead(&second, &first).0, -3_000_000);
+    }
+
+    #[test]
+    fn little_or_contrary_news_shifts_nothing() {
+        let first = marks(&[("a", 0), ("b", 0), ("c", 0)]);
+        assert_eq!(ahead(&first, &marks(&[("a", 3_000_000), ("b", 3_000_000)])), (0, 0));
+        assert_eq!(ahead(&first, &marks(&[("a", 0), ("b", 3_000_000), ("c", 9_000_000)])).0, 0);
+        assert_eq!(ahead(&first, &marks(&[("a", 400_000), ("b", 300_000), ("c", 500_000)])), (0, 3));
+    }
+}
--- /dev/null
+++ b/crates/records/src/kind.rs
@@ -0,0 +1,172 @@
+//! What can be said of a record by its kind: its number in the schema, its name, whom it concerns.
+
+use prost::encoding::decode_key;
+use prost::Message;
+
+use crate::pb::{self, record::Kind, Record};
+
+/// Numbers of the kinds begin here; what is below belongs to every record.
+pub const FIRST: u32 = 10;
+
+/// Every kind's number and name, in the order of their numbers.
+pub const KINDS: [(u32, &str); 23] = [
+    (10, "started"),
+    (11, "stopped"),
+    (12, "clock-stepped"),
+    (13, "lost"),
+    (14, "recovered"),
+    (20, "state"),
+    (21, "life"),
+    (22, "server-started"),
+    (23, "withdrawn"),
+    (24, "cold-held"),
+    (25, "zone-cut"),
+    (26, "saturation"),
+    (27, "level"),
+    (28, "parts"),
+    (29, "failing"),
+    (40, "joined"),
+    (41, "left"),
+    (42, "published"),
+    (43, "gauge"),
+    (44, "dropped"),
+    (45, "discovery"),
+    (46, "reloaded"),
+    (47, "fleet"),
+];
+
+/// The number of a kind.
+pub fn number(kind: &Kind) -> u32 {
+    match kind {
+        Kind::Started(_) => 10,
+        Kind::Stopped(_) => 11,
+        Kind::ClockStepped(_) => 12,
+        Kind::Lost(_) => 13,
+        Kind::Recovered(_) => 14,
+        Kind::StateChanged(_) => 20,
+        Kind::LifeChanged(_) => 21,
+        Kind::ServerStarted(_) => 22,
+        Kind::Withdrawn(_) => 23,
+        Kind::ColdHeld(_) => 24,
+        Kind::ZoneCut(_) => 25,
+        Kind::Saturation(_) => 26,
+        Kind::Level(_) => 27,
+        Kind::Parts(_) => 28,
+        Kind::Failing(_) => 29,
+        Kind::StreamJoined(_) => 40,
+        Kind::StreamLeft(_) => 41,
+        Kind::Published(_) => 42,
+        Kind::Gauge(_) => 43,
+        Kind::ReportsDropped(_) => 44,
+        Kind::Discovery(_) => 45,
+        Kind::Reloaded(_) => 46,
+        Kind::Fleet(_) => 47,
+    }
+}
+
+/// The name of a kind by its number.
+pub fn name(number: u32) -> &'static str {
+    KINDS.iter().find(|(known, _)| *known == number).map_or("unknown", |(_, name)| name)
+}
+
+/// The number of a kind by its name.
+pub fn by_name(name: &str) -> Option<u32> {
+    KINDS.iter().find(|(_, known)| *known == name).map(|(number, _)| *number)
+}
+
+/// The server that a record is about, where it is about one.
+pub fn server(kind: &Kind) -> Option<&str> {
+    match kind {
+        Kind::StateChanged(of) => Some(&of.server),
+        Kind::LifeChanged(of) => Some(&of.server),
+        Kind::ServerStarted(of) => Some(&of.server),
+        Kind::Withdrawn(of) => Some(&of.server),
+        Kind::Failing(of) => Some(&of.server),
+        _ => None,
+    }
+}
+
+/// Whether a record is one of a series that charts show, not an event of its own.
+pub fn is_series(kind: &Kind) -> bool {
+    matches!(kind, Kind::Gauge(_) | Kind::Fleet(_) | Kind::Published(_))
+}
+
+/// Whether an event is news for whoever asks what went wrong; joins and ends of streams and the like are not.
+pub fn is_trouble(kind: &Kind) -> bool {
+    match kind {
+        Kind::StateChanged(of) => of.state() != pb::State::Full,
+        Kind::LifeChanged(of) => of.life() != pb::Life::InService,
+        Kind::Withdrawn(of) => of.out,
+        Kind::ColdHeld(of) => of.held,
+        Kind::ZoneCut(of) => of.cut,
+        Kind::Saturation(of) => of.refused > 0.0,
+        Kind::Failing(of) => of.failing,
+        Kind::Discovery(of) => !of.tells,
+        Kind::Reloaded(of) => !of.taken,
+        Kind::Lost(_) | Kind::ClockStepped(_) => true,
+        _ => false,
+    }
+}
+
+/// A record as read: what this version understands of it, and whether there is more in it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Read {
+    /// The record; without a kind if that is newer than this version.
+    pub record: Record,
+    /// The number of its kind; 0 if it has none at all.
+    pub number: u32,
+    /// Its bytes, where they hold more than this version understands.
+    pub newer: Option<Vec<u8>>,
+}
+
+/// Reads a record; what is newer than this version is kept as bytes. Nothing if it is no record.
+pub fn read(content: &[u8]) -> Option<Read> {
+    let record = Record::decode(content).ok()?;
+    let number = record.kind.as_ref().map_or_else(|| unknown(content), number);
+    let newer = (record.encoded_len() != content.len()).then(|| content.to_vec());
+    Some(Read { record, number, newer })
+}
+
+/// The first field's number beyond those that every record has.
+fn unknown(mut content: &[u8]) -> u32 {
+    let context = prost::encoding::DecodeContext::default();
+    while let Ok((tag, wire)) = decode_key(&mut content) {
+        if tag >= FIRST {
+            return tag;
+        }
+        if prost::encoding::skip_field(wire, tag, &mut content, context.clone()).is_err() {
+            break;
+        }
+    }
+    0
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn names_and_numbers_agree_and_fit_the_index() {
+        for (known, its) in KINDS {
+            assert_eq!((name(known), by_name(its)), (its, Some(known)));
+            assert!((FIRST..FIRST + 64).contains(&known));
+        }
+        assert_eq!(number(&Kind::Fleet(pb::Fleet::default())), 47);
+        assert_eq!((name(63), by_name("nothing")), ("unknown", None));
+    }
+
+    /// Danger: a day's records of a newer version, read by an older one, are silently fewer.
+    #[test]
+    fn what_is_newer_is_kept_and_shown_as_unknown() {
+        let mut bytes = Record { seq: 7, at_us: 5, learned_us: 6, kind: None }.encode_to_vec();
+        prost::encoding::encode_key(60, prost::encoding::WireType::LengthDelimited, &mut bytes);
+        bytes.extend_from_slice(&[3, 1, 2, 3]);
+        let newer = read(&bytes).expect("a record");
+        assert_eq!((newer.record.seq, newer.number, newer.newer.as_deref()), (7, 60, Some(&bytes[..])));
+
+        let gauge = Kind::Gauge(pb::Gauge { waiting: 3.0, ..Default::default() });
+        let known = Record { seq: 8, kind: Some(gauge), ..Default::default() }.encode_to_vec();
+        assert_eq!(read(&known).expect("a record").newer, None);
+        assert!(read(&[0xff; 9]).is_none());
+    }
+}
