--- a/crates/adapter/src/codec.rs
+++ b/crates/adapter/src/codec.rs
@@ -253,6 +253,10 @@
             let contents = if data.is_empty() { "-".to_string() } else { STANDARD.encode(data) };
             format!("notify\trecipient={to}\tcontents={contents}")
         }
-        Action::Log(text) => format!("write_log\twhat={}", text.replace(['\n', '\r', '\t'], " ")),
+        Action::Note(note) => {
+            let told =
+                chutegrade_engine::told(note, |server| server.0.to_string(), |zone| zone.0.to_string());
+            format!("write_log\twhat={}", chutegrade_records::text::line(&told))
+        }
     })
 }
--- a/crates/adapter/tests/codec.rs
+++ b/crates/adapter/tests/codec.rs
@@ -132,7 +132,10 @@
         (Action::FetchList, "list_all"),
         (Action::Timer { id: 1, after: Micros(1500) }, "arm\thandle=1\tfromNowMs=1.5"),
         (Action::Tell { peer: None, data: vec![1, 2] }, "notify\trecipient=all\tcontents=AQI="),
-        (Action::Log("two\tparts\n".to_string()), "write_log\twhat=two parts "),
+        (
+            Action::Note(Note::Cut { zone: ZoneId(2), cut: false, mute: 0.0 }),
+            "write_log\twhat=zone 2 answers again",
+        ),
     ];
     for (action, line) in cases {
         assert_eq!(write(&action).as_deref(), Ok(line));
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,8 +4,10 @@
 
 use chutegrade_policy::interface::*;
 use chutegrade_policy::policy::Policy;
+use chutegrade_records::{pb, Kind};
 
 use crate::names::{Listed, Names};
+use crate::notes::{self, Noted, Notes};
 use crate::order::Order;
 use crate::streams::Streams;
 use crate::tables::Tables;
@@ -135,12 +137,10 @@
     timers: BTreeSet<(Micros, u32)>,
     probes: VecDeque<ServerId>,
     list: ListWish,
-    logs: VecDeque<String>,
+    notes: Notes,
     begun: bool,
 }
 
-/// Log lines that wait to be picked; beyond it the oldest go.
-const LOGS_MOST: usize = 256;
 /// Reports that wait for a tick, beyond which those on servers and usage are dropped: a minute's worth of the largest
 /// deployments, which only a flood brings between two ticks.
 const REPORTS_MOST: usize = 50_000;
@@ -165,7 +165,7 @@
             events: Vec::new(),
             timers: BTreeSet::new(),
             probes: VecDeque::new(),
-            logs: VecDeque::new(),
+            notes: Notes::default(),
             begun: false,
         }
     }
@@ -180,7 +180,11 @@
             Report::List(kind, listed) => {
                 // A subscription that was lost is none: the decisions ask for it anew.
                 self.list.watch &= kind != ListKind::Lost;
-                let entries = listed.iter().map(|listed| self.names.listed(listed)).collect();
+                let entries: Vec<Entry> = listed.iter().map(|listed| self.names.listed(listed)).collect();
+                entries
+                    .iter()
+                    .zip(&listed)
+                    .for_each(|(entry, listed)| self.notes.listed(entry.server, listed));
                 Event::Members(kind, entries)
             }
             Report::Joined { stream, proxy, zone, rate, new } => {
@@ -193,8 +197,10 @@
             }
             Report::Left(stream) => Event::Left(self.streams.leave(stream).ok_or(Unknown::Stream)?),
             Report::Outcomes { zone, server, tries, failed, mean_ms, period, load } => {
-                let (zone, server) =
-                    (self.zone(&zone)?, self.names.server(&server).ok_or(Unknown::Server(server))?);
+                let id = self.names.server(&server);
+                let (at, id) = (self.zone(&zone)?, id.ok_or_else(|| Unknown::Server(server.clone()))?);
+                self.notes.heard((&zone, &server), tries, failed, period);
+                let (zone, server) = (at, id);
                 Event::Heard { zone, server, tries, failed, mean_ms, period, load }
             }
             Report::Demand { proxy, class, came, failed, period } => {
@@ -233,7 +239,7 @@
     }
 
     /// How many proxies, and how many zones, the settings hold.
-    pub fn fleet(&self) -> (usize, usize) {
+    pub fn size(&self) -> (usize, usize) {
         (self.proxies, self.zones)
     }
 
@@ -251,6 +257,7 @@
         }
         if !self.events.is_empty() || !self.begun {
             self.begun = true;
+            self.notes.learn(now);
             let events = std::mem::take(&mut self.events);
             let actions = self.policy.handle(now, &events);
             self.carry_out(now, actions);
@@ -259,18 +266,25 @@
     }
 
     fn carry_out(&mut self, now: Micros, actions: Vec<Action>) {
-        let mut mark = None;
+        let (mut mark, mut sent) = (None, pb::Published::default());
         for action in actions {
             match &action {
-                Action::Line { table, server, weight } => self.tables.line(*table, *server, *weight),
+                Action::Line { table, server, weight } => {
+                    sent.lines += 1;
+                    self.tables.line(*table, *server, *weight);
+                }
                 Action::Clear(table) => self.tables.clear(*table),
-                Action::Withdraw { server, out } => self.tables.withdraw(*server, *out),
+                Action::Withdraw { server, out } => {
+                    sent.withdrawals += 1;
+                    self.tables.withdraw(*server, *out);
+                }
                 Action::Admit { table, classes, level, retry } => {
                     for class in self.tables.positions(*classes) {
                         self.tables.admit(*table, class, *level, *retry);
+                        self.note_level(now, *table, class, *level, *retry);
                     }
                 }
-                Action::Bind { .. } => {}
+                Action::Bind { .. } => sent.binds += 1,
                 Action::Mark { mark: number, everyone } => mark = Some((*number, *everyone)),
                 Action::Probe(server) => self.probes.push_back(*server),
                 Action::Subscribe(on) => self.list.watch = *on,
@@ -278,19 +292,68 @@
                 Action::Timer { id, after } => {
                     self.timers.insert((now + (*after).max(Micros(1)), *id));
                 }
-                Action::Log(text) => self.log(text.clone()),
-                Action::Tell { .. } => self.log("a message to other instances has no way".to_string()),
+                Action::Note(note) => {
+                    let kind =
+                        notes::told(note, |id| self.server_name(id), |zone| self.names.zone_name(zone));
+                    self.notes.add(now, now, kind, true);
+                }
+                // The protocol has no way between instances, and the decisions do not ask for one.
+                Action::Tell { .. } => {}
+            }
+            let reached = self.streams.apply(&action, &self.tables);
+            if let Action::Withdraw { server, out } = action {
+                let (server, streams) = (self.server_name(server), reached);
+                self.notes.add(now, now, Kind::Withdrawn(pb::Withdrawn { server, out, streams }), false);
             }
-            self.streams.apply(&action, &self.tables);
         }
         self.streams.end_turn(mark);
+        if sent != pb::Published::default() {
+            sent.streams = u32::try_from(self.streams.reached()).unwrap_or(u32::MAX);
+            self.notes.add(now, now, Kind::Published(sent), false);
+        }
     }
 
-    fn log(&mut self, text: String) {
-        if self.logs.len() >= LOGS_MOST {
-            self.logs.pop_front();
+    fn server_name(&self, id: ServerId) -> String {
+        self.names.name(id).map_or_else(|| id.0.to_string(), |name| name.to_string())
+    }
+
+    fn note_level(&mut self, now: Micros, table: Option<TableId>, class: usize, level: f64, retry: Retry) {
+        if self.notes.recording {
+            let class =
+                self.names.class_name(class).map_or_else(|| class.to_string(), |name| name.to_string());
+            let (table, retry) = (table.map_or(0, |table| u32::from(table.0)), notes::retry(retry));
+            let strain = self.policy.figures().strain;
+            self.notes.add(now, now, Kind::Level(pb::Level { class, level, retry, table, strain }), false);
         }
-        self.logs.push_back(text);
+    }
+
+    /// From now on notes for the records are made too.
+    pub fn record(&mut self) {
+        self.notes.recording = true;
+    }
+
+    /// The next thing that happened. What is for the log alone, or for both, is made in any case.
+    pub fn pick_note(&mut self, now: Micros) -> Option<Noted> {
+        self.notes.pick(now)
+    }
+
+    /// The fleet in figures, as it stands after the last tick.
+    pub fn gauge(&self) -> pb::Gauge {
+        notes::gauge(self.policy.figures(), self.policy.joined(), self.policy.standings().map(|of| of.1))
+    }
+
+    /// All servers, as they stand after the last tick.
+    pub fn fleet(&self) -> pb::Fleet {
+        let named = |(id, of): (ServerId, Standing)| {
+            notes::server(self.server_name(id), self.names.zone_name(of.entry.zone), &of)
+        };
+        pb::Fleet { servers: self.policy.standings().map(named).collect() }
+    }
+
+    /// The names of zones and classes.
+    pub fn vocabulary(&self) -> (Vec<String>, Vec<String>) {
+        let classes = (0..self.tables.classes()).filter_map(|class| self.names.class_name(class));
+        (self.names.zones().to_vec(), classes.map(|name| name.to_string()).collect())
     }
 
     /// Streams that have had an order waiting since this was last asked.
@@ -317,16 +380,6 @@
         self.list.fetch = false;
         wish
     }
-
-    /// The next line for the operators. The decisions know servers by ids; the line gives the name.
-    pub fn pick_log(&mut self) -> Option<String> {
-        let text = self.logs.pop_front()?;
-        let named = text.split_once(' ').and_then(|(id, rest)| {
-            let name = self.names.name(ServerId(id.parse().ok()?))?;
-            Some(format!("{name} {rest}"))
-        });
-        Some(named.unwrap_or(text))
-    }
 }
 
 #[cfg(test)]
--- a/crates/engine/src/engine/tests.rs
+++ b/crates/engine/src/engine/tests.rs
@@ -216,16 +216,72 @@
 }
 
 #[test]
-fn log_lines_name_servers() {
+fn notes_name_servers_and_only_those_for_the_log_are_made_while_nobody_records() {
     let mut engine = serving();
-    engine.log("2 Withdrawn score 0.10".into());
-    engine.log("refuses 0.1".into());
-    assert_eq!(engine.pick_log().as_deref(), Some("s2 Withdrawn score 0.10"));
-    assert_eq!(engine.pick_log().as_deref(), Some("refuses 0.1"));
-    for n in 0..2 * LOGS_MOST {
-        engine.log(format!("line {n}"));
-    }
-    assert_eq!(std::iter::from_fn(|| engine.pick_log()).count(), LOGS_MOST);
+    let state = Note::State {
+        server: ServerId(2),
+        zone: ZoneId(0),
+        state: State::Withdrawn,
+        score: 0.1,
+        errors: 0.0,
+        latency: 1.0,
+        cause: Cause::Errors,
+    };
+    let line = Action::Line { table: TableId(0), server: ServerId(1), weight: 1.0 };
+    while engine.pick_note(Micros(0)).is_some() {}
+    engine.carry_out(Micros(7), vec![Action::Note(state.clone()), line.clone()]);
+    let noted = engine.pick_note(Micros(8)).expect("a note");
+    assert_eq!((noted.at, noted.logged), (Micros(7), true));
+    let text = chutegrade_records::text::line(&noted.kind);
+    assert_eq!(text, "s2 withdrawn, score 0.10: errors 0.00 latency 1.00, tries fail");
+    assert_eq!(engine.pick_note(Micros(8)), None);
+    engine.record();
+    engine.carry_out(Micros(9), vec![line]);
+    let noted = engine.pick_note(Micros(9)).expect("a note");
+    assert!(matches!(noted.kind, Kind::Published(of) if of.lines == 1) && !noted.logged);
+}
+
+/// Danger: a fleet that fails as a whole fills memory with what nobody picks.
+#[test]
+fn notes_that_wait_are_bounded_and_what_went_is_counted() {
+    let mut engine = serving();
+    while engine.pick_note(Micros(0)).is_some() {}
+    let parts = |n| Action::Note(Note::Parts { parts: n, narrowed: false });
+    engine.carry_out(Micros(5), (0..crate::notes::NOTES_MOST + 10).map(parts).collect());
+    let lost = engine.pick_note(Micros(6)).expect("a note");
+    assert!(matches!(&lost.kind, Kind::Lost(of) if of.count == 10), "{lost:?}");
+    assert_eq!(std::iter::from_fn(|| engine.pick_note(Micros(6))).count(), crate::notes::NOTES_MOST);
+}
+
+/// A start and a failure are told with the time at which they began, not that at which they were learned.
+#[test]
+fn what_is_learned_late_keeps_its_time() {
+    let mut engine = serving();
+    engine.record();
+    let again = Listed { started: Some(Micros(40_000_000)), ..listed(1) };
+    assert_eq!(engine.report(Report::List(ListKind::Changes, vec![again])), Ok(()));
+    let outcomes = Report::Outcomes {
+        zone: "z1".into(),
+        server: "s1".into(),
+        tries: 10.0,
+        failed: 9.0,
+        mean_ms: 1.0,
+        period: Micros(2_000_000),
+        load: Load::default(),
+    };
+    assert_eq!(engine.report(outcomes), Ok(()));
+    let now = Micros(50_000_000);
+    engine.tick(now);
+    let noted: Vec<Noted> = std::iter::from_fn(|| engine.pick_note(now)).collect();
+    let at =
+        |wanted: fn(&Kind) -> bool| noted.iter().find(|noted| wanted(&noted.kind)).map(|n| (n.at, n.learned));
+    assert_eq!(at(|kind| matches!(kind, Kind::ServerStarted(_))), Some((Micros(40_000_000), now)));
+    assert_eq!(at(|kind| matches!(kind, Kind::Failing(_))), Some((Micros(48_000_000), now)));
+    let fleet = engine.fleet();
+    assert!(fleet.servers.iter().any(|server| server.name == "s1" && server.zone == "z1"));
+    let gauge = engine.gauge();
+    let counted = gauge.full + gauge.reduced + gauge.withdrawn + gauge.cold + gauge.leaving;
+    assert_eq!(counted as usize, fleet.servers.len());
 }
 
 #[test]
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod engine;
 mod names;
+mod notes;
 mod order;
 mod streams;
 mod tables;
 
 pub use engine::{Engine, ListWish, Probe, Report, Unknown};
 pub use names::Listed;
+pub use notes::{told, Noted};
 pub use order::{Order, Part};
 
 /// The types that reports share with the decision module.
--- a/crates/engine/src/names.rs
+++ b/crates/engine/src/names.rs
@@ -60,6 +60,14 @@
         self.zones.iter().position(|zone| zone == name).map(|at| ZoneId(at as u16))
     }
 
+    pub fn zones(&self) -> &[String] {
+        &self.zones
+    }
+
+    pub fn zone_name(&self, zone: ZoneId) -> String {
+        self.zones.get(usize::from(zone.0)).cloned().unwrap_or_default()
+    }
+
     pub fn server(&self, name: &str) -> Option<ServerId> {
         self.by_name.get(name).copied()
     }
--- a/crates/engine/src/streams.rs
+++ b/crates/engine/src/streams.rs
@@ -73,8 +73,8 @@
         }
     }
 
-    /// A server is shut out or let back: of no concern to a proxy whose tables are all known not to name it.
-    fn withdraw(&mut self, server: ServerId, out: bool, all: &Tables) {
+    /// A server is shut out or let back: of no concern to a proxy whose tables are all known not to name it. Whether it is.
+    fn withdraw(&mut self, server: ServerId, out: bool, all: &Tables) -> bool {
         let named = |table: &TableId| all.get(*table).is_some_and(|t| t.lines.contains_key(&server));
         let concerned = if out {
             self.unbound(all) || self.tables.values().any(named)
@@ -85,6 +85,7 @@
             self.told.insert(server, out);
             self.draft.withdraw(server, out);
         }
+        concerned
     }
 
     fn unbound(&self, all: &Tables) -> bool {
@@ -133,8 +134,8 @@
         Some(proxy)
     }
 
-    /// Carries one action to the streams it concerns; the tables hold it already.
-    pub fn apply(&mut self, action: &Action, all: &Tables) {
+    /// Carries one action to the streams it concerns; the tables hold it already. Tells how many a withdrawal concerns.
+    pub fn apply(&mut self, action: &Action, all: &Tables) -> u32 {
         match action {
             Action::Line { table, server, weight } => {
                 self.each(|joined| joined.line(*table, *server, *weight, all));
@@ -146,7 +147,10 @@
                     joined.bind(*table, &classes, all);
                 }
             }
-            Action::Withdraw { server, out } => self.each(|joined| joined.withdraw(*server, *out, all)),
+            Action::Withdraw { server, out } => {
+                let each = self.proxies.values_mut();
+                return each.map(|joined| u32::from(joined.withdraw(*server, *out, all))).sum();
+            }
             Action::Admit { table, classes, .. } => {
                 for class in all.positions(*classes) {
                     self.each(|joined| joined.level(*table, class, all));
@@ -154,6 +158,12 @@
             }
             _ => {}
         }
+        0
+    }
+
+    /// How many streams have something to write.
+    pub fn reached(&self) -> usize {
+        self.reached.len()
     }
 
     fn each(&mut self, apply: impl FnMut(&mut Joined)) {
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,299 @@
+//! The operators' own file: protobuf text format after `proto/operator.proto`. It is read whole or not at all; each fault
+//! names its line and what would be right. What it does not say is off.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use miette::Diagnostic as _;
+use prost_reflect::{DescriptorPool, DynamicMessage};
+
+/// The types of the schema, as generated.
+#[allow(missing_docs)]
+pub mod pb {
+    include!(concat!(env!("OUT_DIR"), "/chutegrade.operator.v1.rs"));
+}
+
+const SCHEMA: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/operator.bin"));
+const MESSAGE: &str = "chutegrade.operator.v1.Operator";
+
+/// Longest file that is read, in bytes: far beyond any that a person writes.
+const LENGTH_MOST: u64 = 1 << 20;
+/// Least size that records may be held to, in MiB: the segment being written and a sealed one.
+const KEEP_MIB_LEAST: u64 = 24;
+/// Most hours that records may be kept: ten years.
+const KEEP_HOURS_MOST: u64 = 87_600;
+/// Least and most of the processor time for background work, in milliseconds in any ten seconds: the index of a segment is
+/// made in steps of some ten, and one core has 10,000.
+const CPU_MS: (u64, u64) = (200, 10_000);
+/// Least bytes for background work, in MiB in any ten seconds: a step of the index takes four.
+const MIB_LEAST: u64 = 8;
+/// Figures that hold where the file says nothing.
+const KEEP_MIB: u64 = 1024;
+const KEEP_HOURS: u64 = 168;
+const BUDGET: (u64, u64) = (500, 64);
+
+/// Where a fault is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// The line, from 1.
+    pub line: usize,
+    /// The column, from 1.
+    pub column: usize,
+}
+
+/// One thing that is wrong with the file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The file.
+    pub path: PathBuf,
+    /// Where it is, if it has a place.
+    pub place: Option<Place>,
+    /// What is wrong, and what would be right.
+    pub text: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.path.display())?;
+        if let Some(Place { line, column }) = self.place {
+            write!(f, ":{line}:{column}")?;
+        }
+        write!(f, ": {}", self.text)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Where records go, and what they may cost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Records {
+    /// The directory in which each supervisor has its own.
+    pub directory: PathBuf,
+    /// Bytes that are kept of each supervisor.
+    pub keep_bytes: u64,
+    /// How long they are kept.
+    pub keep_for: Duration,
+    /// Processor time that background work may take in any ten seconds.
+    pub background_time: Duration,
+    /// Bytes that it may read and write in any ten seconds.
+    pub background_bytes: u64,
+}
+
+/// How the log is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Plain,
+    /// One JSON object a line.
+    Json,
+}
+
+/// What the operators switched on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Operator {
+    /// Records, if wanted.
+    pub records: Option<Records>,
+    /// The log's form.
+    pub log: LogFormat,
+}
+
+/// Reads the file; all faults at once.
+pub fn load(path: &Path) -> Result<Operator, Vec<Fault>> {
+    let fault = |text: String| vec![Fault { path: path.to_path_buf(), place: None, text }];
+    let length = std::fs::metadata(path).map_err(|io| fault(format!("cannot be opened: {io}")))?.len();
+    if length > LENGTH_MOST {
+        return Err(fault(format!("{length} bytes are too long, at most {LENGTH_MOST} are read")));
+    }
+    let text = std::fs::read_to_string(path).map_err(|io| fault(format!("cannot be read: {io}")))?;
+    read(path, &text)
+}
+
+fn place(text: &str, offset: usize) -> Place {
+    let before = text.get(..offset.min(text.len())).unwrap_or(text);
+    let line = before.matches('\n').count() + 1;
+    let column = before.rsplit('\n').next().map_or(0, |last| last.chars().count()) + 1;
+    Place { line, column }
+}
+
+/// Reads a text, as of a file with this name.
+pub fn read(path: &Path, text: &str) -> Result<Operator, Vec<Fault>> {
+    let fault = |place, text| Fault { path: path.to_path_buf(), place, text };
+    let schema = DescriptorPool::decode(SCHEMA).ok().and_then(|pool| pool.get_message_by_name(MESSAGE));
+    let Some(schema) = schema else { return Err(vec![fault(None, "the schema is missing".to_string())]) };
+    let parsed = DynamicMessage::parse_text_format(schema, text).map_err(|wrong| {
+        let offset = wrong.labels().and_then(|mut labels| labels.next()).map(|label| label.offset());
+        // What ends too early has no offset: it is at the end.
+        vec![fault(Some(place(text, offset.unwrap_or(text.len()))), sentence(&wrong.to_string()))]
+    })?;
+    let file: pb::Operator =
+        parsed.transcode_to().map_err(|wrong| vec![fault(None, sentence(&wrong.to_string()))])?;
+    let mut faults = Vec::new();
+    let operator = check(&file, &mut |field, said| faults.push(fault(find(text, field), said)));
+    if faults.is_empty() {
+        Ok(operator)
+    } else {
+        Err(faults)
+    }
+}
+
+/// One line, whatever the library says.
+fn sentence(text: &str) -> String {
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+/// Where a field is given: its name as a word of its own, outside comments and strings.
+fn find(text: &str, field: &str) -> Option<Place> {
+    let mut offset = 0;
+    for line in text.split_inclusive('\n') {
+        let code = line.split(['#', '"', '\'']).next().unwrap_or_default();
+        let word = |c: char| c.is_alphanumeric() || c == '_';
+        let found = code.match_indices(field).find(|(at, _)| {
+            let before = code.get(..*at).and_then(|text| text.chars().next_back());
+            let after = code.get(at + field.len()..).and_then(|text| text.chars().next());
+            !before.is_some_and(word) && !after.is_some_and(word)
+        });
+        if let Some((at, _)) = found {
+            return Some(place(text, offset + at));
+        }
+        offset += line.len();
+    }
+    None
+}
+
+fn check(file: &pb::Operator, fault: &mut impl FnMut(&str, String)) -> Operator {
+    let log = match file.log.as_ref().map(pb::Log::format) {
+        Some(pb::log::Format::Json) => LogFormat::Json,
+        _ => LogFormat::Plain,
+    };
+    Operator { records: file.records.as_ref().and_then(|records| check_records(records, fault)), log }
+}
+
+fn given(value: u64, usual: u64) -> u64 {
+    if value == 0 {
+        usual
+    } else {
+        value
+    }
+}
+
+fn check_records(records: &pb::Records, fault: &mut impl FnMut(&str, String)) -> Option<Records> {
+    if records.directory.is_empty() {
+        fault(
+            "records",
+            "records without a directory: give directory: \"/var/lib/chutegrade\", or leave records out"
+                .into(),
+        );
+        return None;
+    }
+    let directory = PathBuf::from(&records.directory);
+    if !directory.is_absolute() {
+        let said = format!(
+            "{:?} depends on where the program is started: give a path that begins with /",
+            records.directory
+        );
+        fault("directory", said);
+    }
+    let (mib, hours) = (given(records.keep_mib, KEEP_MIB), given(records.keep_hours, KEEP_HOURS));
+    if mib < KEEP_MIB_LEAST {
+        fault("keep_mib", format!("{mib} MiB hold less than two segments: give {KEEP_MIB_LEAST} or more"));
+    }
+    if hours > KEEP_HOURS_MOST {
+        fault("keep_hours", format!("{hours} hours are too long: give {KEEP_HOURS_MOST} or fewer"));
+    }
+    let budget = records.background.unwrap_or_default();
+    let (cpu, bytes) = (given(budget.cpu_ms, BUDGET.0), given(budget.mib, BUDGET.1));
+    if !(CPU_MS.0..=CPU_MS.1).contains(&cpu) {
+        fault("cpu_ms", format!("{cpu} ms in any ten seconds: give {} to {}", CPU_MS.0, CPU_MS.1));
+    }
+    if bytes < MIB_LEAST {
+        fault(
+            "mib",
+            format!("{bytes} MiB in any ten seconds are less than a step takes: give {MIB_LEAST} or more"),
+        );
+    }
+    Some(Records {
+        directory,
+        keep_bytes: mib.saturating_mul(1 << 20),
+        keep_for: Duration::from_secs(hours.saturating_mul(3600)),
+        background_time: Duration::from_millis(cpu),
+        background_bytes: bytes.saturating_mul(1 << 20),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn parse(text: &str) -> Result<Operator, Vec<Fault>> {
+        read(Path::new("o.txtpb"), text)
+    }
+
+    fn says(text: &str, wanted: &[&str]) {
+        let faults = parse(text).expect_err(text);
+        let said: Vec<String> = faults.iter().map(Fault::to_string).collect();
+        assert_eq!(said.len(), wanted.len(), "{said:?}");
+        for (said, wanted) in said.iter().zip(wanted) {
+            assert!(said.starts_with(&format!("o.txtpb:{wanted}")) && !said.contains('\n'), "{said}");
+        }
+    }
+
+    #[test]
+    fn what_is_not_said_is_off() {
+        assert_eq!(parse(""), Ok(Operator::default()));
+        assert_eq!(parse("# nothing\n"), Ok(Operator::default()));
+        let records = parse("records { directory: \"/var/lib/chutegrade\" }")
+            .expect("a file")
+            .records
+            .expect("records");
+        assert_eq!((records.keep_bytes, records.keep_for.as_secs()), (1 << 30, 7 * 86_400));
+        assert_eq!(parse("log { format: JSON }").expect("a file").log, LogFormat::Json);
+    }
+
+    #[test]
+    fn the_file_in_the_repository_is_right() {
+        let text = include_str!("../../../deploy/operator.txtpb");
+        assert!(parse(text).is_ok(), "{:?}", parse(text));
+    }
+
+    #[test]
+    fn each_fault_has_its_line_and_says_what_is_right() {
+        says("records {\n  directry: \"/x\"\n}", &["2:3: "]);
+        says("records {\n  directory: 7\n}", &["2:"]);
+        says("records {\n", &["2:1: "]);
+        says("log { format: XML }", &["1:"]);
+        says("# records come later\nrecords { keep_mib: 3 }", &["2:1: records without a directory"]);
+        says(
+            "records {\n directory: \"x\" # keep_mib\n keep_mib: 3\n background { cpu_ms: 3 mib: 1 }\n}",
+            &[
+                "2:2: \"x\" depends on where",
+                "3:2: 3 MiB hold less",
+                "4:15: 3 ms in any ten seconds: give 200 to 10000",
+                "4:25: 1 MiB",
+            ],
+        );
+    }
+
+    #[test]
+    fn a_file_that_is_not_there_is_one_sentence() {
+        let fault = load(Path::new("/nowhere/o.txtpb")).expect_err("no file").remove(0).to_string();
+        assert!(fault.starts_with("/nowhere/o.txtpb: cannot be opened"), "{fault}");
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whatever is written there: a file or faults of one line each, and no end of the program.
+        #[test]
+        fn any_text_is_read(text in "[a-z_{}:\"0-9 #\n\\\\é<>\\[\\],;.-]{0,80}", kept in 0..40usize) {
+            let whole = include_str!("../../../deploy/operator.txtpb");
+            let kept: String = whole.chars().take(kept * 20).collect();
+            if let Err(faults) = parse(&format!("{kept}{text}")) {
+                prop_assert!(!faults.is_empty() && faults.iter().all(|fault| !fault.to_string().contains('\n')));
+            }
+        }
+    }
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -495,6 +495,134 @@
         /** The payload. */
         data: Vec<u8>,
     },
-    /// A line for the operators.
-    Log(String),
+    /// Something to tell; nothing follows from it.
+    Note(Note),
+}
+
+/// The three states of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum State {
+    /// It has the weight that its size and speed give it.
+    #[default]
+    Full,
+    /// It has less, by its score.
+    Reduced,
+    /// It has none.
+    Withdrawn,
+}
+
+/// What a change of state comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The score, both terms alike.
+    Score,
+    /// Mostly tries that failed.
+    Errors,
+    /// Mostly times that grew.
+    Latency,
+    /// Mostly probes that failed.
+    Probes,
+    /// The time out is over: it is tried again.
+    TriedAgain,
+    /// Enough good ticks in a row.
+    GoodTicks,
+}
+
+/// What the decisions tell of themselves.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A server's state changed.
+    State {
+        /** The server. */
+        server: ServerId,
+        /** Its zone. */
+        zone: ZoneId,
+        /** The state it is in now. */
+        state: State,
+        /** Its smoothed score. */
+        score: f64,
+        /** The error term, 1 being free. */
+        errors: f64,
+        /** The latency term. */
+        latency: f64,
+        /** What it comes from. */
+        cause: Cause,
+    },
+    /// The list tells of another life of a server.
+    Life {
+        /** The server. */
+        server: ServerId,
+        /** Its zone. */
+        zone: ZoneId,
+        /** Its life. */
+        life: Lifecycle,
+    },
+    /// Cold servers are held out of tables, or let in again.
+    Cold {
+        /** Held out. */
+        held: bool,
+        /** Tries that an answer takes. */
+        tries: f64,
+    },
+    /// A zone answers no probes while another does, or answers again.
+    Cut {
+        /** The zone. */
+        zone: ZoneId,
+        /** It is cut off. */
+        cut: bool,
+        /** Share of its servers that answer no probe. */
+        mute: f64,
+    },
+    /// The share of requests refused moved by a tenth.
+    Saturation {
+        /** The share refused. */
+        refused: f64,
+        /** The smoothed saturation. */
+        strain: f64,
+        /** Its term by the queues that servers report. */
+        queues: f64,
+        /** By the time that probes take. */
+        probes: f64,
+        /** By the probes that fail. */
+        mute: f64,
+    },
+    /// The fleet was dealt into parts anew.
+    Parts {
+        /** How many. */
+        parts: usize,
+        /** More than usual, since tries fail everywhere. */
+        narrowed: bool,
+    },
+}
+
+/// A server as the decisions see it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /** What the list says of it. */
+    pub entry: Entry,
+    /** Its state. */
+    pub state: State,
+    /** Its smoothed score. */
+    pub score: f64,
+    /** The error and the latency term of the last tick, 1 being free. */
+    pub terms: (f64, f64),
+    /** Its weight before what tables make of it. */
+    pub weight: f64,
+    /** Share of its capacity that it is sure to have. */
+    pub warmth: f64,
+    /** It is shut out of all tables. */
+    pub shut: bool,
+}
+
+/// The fleet in figures.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    /** Lines waiting in the channel. */
+    pub waiting: f64,
+    /** Share of requests refused. */
+    pub refused: f64,
+    /** The smoothed saturation. */
+    pub strain: f64,
+    /** The lowest level of each class in any table; a rate counts as the share it admits of the highest. */
+    pub levels: Vec<f64>,
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -9,6 +9,8 @@
 use crate::interface::*;
 use crate::state::*;
 
+mod view;
+
 /// Length of a tick. The design starts at 1 s and leaves it open: half of it halves the time to act.
 const TICK: Micros = Micros(500_000);
 /// Weight of the newest value in what is smoothed (design: 0.3): while it gets better, and worse.
@@ -185,6 +187,7 @@
     narrowed: Option<Micros>,               // when tries last failed everywhere while servers idled
     links: BTreeMap<(ZoneId, ZoneId), f64>, // scores of the ways, by zone of proxies and of servers
     cut: BTreeSet<ZoneId>,                  // zones that do not answer here while another does
+    cold_out: bool,                         // cold servers are held out of tables
     ticked: Micros,
     updated: Option<Micros>,
     subscribe_at: Option<Micros>,
@@ -346,7 +349,12 @@
         let most = |zone| 1.0 - if self.cut.contains(zone) { PROBES_ANSWERED.0 } else { PROBES_ANSWERED.1 };
         let (cut, mute): (Zones, Zones) =
             mute.iter().partition(|(zone, share)| answers && **share > most(*zone));
-        self.cut = cut.into_keys().collect();
+        let shut: BTreeSet<ZoneId> = cut.keys().copied().collect();
+        for &zone in shut.symmetric_difference(&self.cut) {
+            let mute = cut.get(&zone).copied().unwrap_or(0.0);
+            out.push(Action::Note(Note::Cut { zone, cut: shut.contains(&zone), mute }));
+        }
+        self.cut = shut;
         let median_mute = quantile(mute.values().copied(), 0.5).unwrap_or(0.0);
         let probes_count = median_mute <= 1.0 - PROBES_ANSWERED.0;
         let zones = self.references();
@@ -373,9 +381,11 @@
             let latency = 1.0 - spare * clamp01(ratio / LATENCY_BUDGET);
             let before = server.state;
             step(server, error, latency);
+            server.terms = (error, latency);
             if server.state != before {
-                let state = format!("{:?} score {:.2}", server.state, server.score);
-                out.push(Action::Log(format!("{} {state}: errors {error:.2} latency {latency:.2}", id.0)));
+                let (state, score, cause) = (server.state, server.score, cause(server, before));
+                let note = Note::State { server: *id, zone, state, score, errors: error, latency, cause };
+                out.push(Action::Note(note));
             }
             server.fade(elapsed);
         }
@@ -603,8 +613,8 @@
         let refused = REFUSE.1 * clamp01((admission.strain - REFUSE.0) / (1.0 - REFUSE.0));
         let step = |refused: f64| (10.0 * refused).round();
         if step(refused) != step(admission.refused) && self.settings.levels != LevelKind::Silent {
-            let by = format!("queues {busy:.2} probes {shared:.2} mute {mute:.2}");
-            out.push(Action::Log(format!("refuses {refused:.1}, saturated {:.2}: {by}", admission.strain)));
+            let strain = admission.strain;
+            out.push(Action::Note(Note::Saturation { refused, strain, queues: busy, probes: shared, mute }));
         }
         admission.refused = refused;
     }
@@ -648,7 +658,7 @@
         if self.settings.slices > 0 {
             self.slice_lines(now, &mut orders);
         } else {
-            self.split(now);
+            self.split(now, &mut orders);
             self.table_lines(now, &mut orders);
             self.bind_joined(&mut orders);
         }
@@ -667,7 +677,7 @@
     /// Deals the fleet into parts, each with its own tables, where naming all would leave a usual proxy
     /// without open connections to most. Danger: each request pays for a connection, each change for a line
     /// at every proxy. Far narrower parts while tries fail though servers idle.
-    fn split(&mut self, now: Micros) {
+    fn split(&mut self, now: Micros, orders: &mut Orders) {
         let (joined, servers) = (self.proxies.len() as f64, self.open().count() as f64);
         let usual = self.settings.proxies as f64 / (2 * self.settings.instances.max(1)) as f64;
         if joined < 1.0 || (self.parts == 0 && joined < usual && self.ticked != now) {
@@ -689,6 +699,7 @@
             let first = self.schemes.last().map_or(0, |scheme| (scheme.table.0 + 1) % (u16::MAX / 2));
             self.schemes = schemes(&self.settings, parts, first);
             self.parts = parts;
+            orders.actions.push(Action::Note(Note::Parts { parts, narrowed }));
             self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
         }
     }
@@ -717,13 +728,18 @@
             let holds = |p: &Proxy| p.tables.is_empty() || p.tables.iter().any(|table| named.contains(table));
             let holders = self.proxies.iter().filter(|(_, proxy)| holds(proxy)).map(|(id, _)| *id);
             orders.give(Action::Withdraw { server: *id, out: leaves }, holders);
-            orders.actions.push(Action::Log(format!("{} {:?}", id.0, server.entry.life)));
+            let (zone, life) = (server.entry.zone, server.entry.life);
+            orders.actions.push(Action::Note(Note::Life { server: *id, zone, life }));
         }
     }
 
     fn table_lines(&mut self, now: Micros, orders: &mut Orders) {
         let (mut changes, mut tables, whole) = (Vec::new(), BTreeMap::new(), Zones::new());
         let (levels, (demand, out)) = (self.class_levels(), self.cold_demand());
+        if std::mem::replace(&mut self.cold_out, out) != out {
+            let tries = demand / COLD_DEMAND;
+            orders.actions.push(Action::Note(Note::Cold { held: out, tries }));
+        }
         let comes = shares(self.proxies.values().map(|proxy| (proxy.zone, proxy.rate())));
         let can = shares(self.open().map(|(_, server)| (server.entry.zone, server.weight)));
         let lean = |zone: ZoneId| (zone, self.lean(zone, &can, &comes));
@@ -947,6 +963,19 @@
     value + if newest < value { EWMA.1 } else { EWMA.0 } * (newest - value)
 }
 
+/// What a change from this state comes from.
+fn cause(server: &Server, before: State) -> Cause {
+    let (errors, latency) = server.terms;
+    match (before, server.state) {
+        (State::Withdrawn, _) => Cause::TriedAgain,
+        (_, State::Full) => Cause::GoodTicks,
+        _ if latency < errors => Cause::Latency,
+        _ if server.probing.failing > 0 => Cause::Probes,
+        _ if errors < latency => Cause::Errors,
+        _ => Cause::Score,
+    }
+}
+
 /// One tick of the state machine, by the design's thresholds and dwell counts.
 fn step(server: &mut Server, error: f64, other: f64) {
     let term = error.min(other);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -14,15 +14,6 @@
 /// By zone of the proxies and of the servers: the median error share and latency.
 pub(crate) type References = BTreeMap<(ZoneId, ZoneId), (f64, f64)>;
 
-/// The three states of a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum State {
-    #[default]
-    Full,
-    Reduced,
-    Withdrawn,
-}
-
 /// A ratio of sums that fade with time.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Fading {
@@ -96,6 +87,7 @@
     pub probing: Probing,
     pub state: State,
     pub score: f64,
+    pub terms: (f64, f64),
     pub below: u32,
     pub above: u32,
     pub out_ticks: u32,
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -62,7 +62,7 @@
     let mut world = World::new(silent, 8, 4);
     world.run(10, &queued(8, 30.0));
     assert_eq!((world.levels[&0], world.levels[&1]), (1.0, 1.0));
-    assert!(!world.actions.iter().any(|a| matches!(a, Action::Log(text) if text.starts_with("refuses"))));
+    assert!(!world.actions.iter().any(|a| matches!(a, Action::Note(Note::Saturation { .. }))));
 }
 
 #[test]
--- a/crates/policy/tests/size.rs
+++ b/crates/policy/tests/size.rs
@@ -456,8 +456,10 @@
     world.mute.clear();
     world.run(6, &met(false));
     assert!(far(&world) > 0.8 * near(&world), "{} of {}", far(&world), near(&world));
-    let blamed =
-        world.actions.iter().filter(|a| matches!(a, Action::Log(text) if text.contains("Withdrawn")));
+    let blamed = world
+        .actions
+        .iter()
+        .filter(|a| matches!(a, Action::Note(Note::State { state: State::Withdrawn, .. })));
     assert_eq!(blamed.count(), 0);
     assert!(world.levels.values().all(|level| *level == 1.0), "{:?}", world.levels);
 }
--- a/crates/records/benches/store.rs
+++ b/crates/records/benches/store.rs
@@ -1,3 +1,4 @@
+#![allow(missing_docs)]
 //! The store: what a record costs on the ticking thread, how fast it is appended and recovered, and a window of eight
 //! minutes out of a day, by the index and by a plain scan; the same day in two libraries beside it.
 
@@ -16,7 +17,6 @@
 use chutegrade_records::{frame, Kind};
 use criterion::{criterion_group, criterion_main, BatchSize, Criterion, Throughput};
 use prost::Message;
-use redb::ReadableTable as _;
 
 const DAY: u64 = 1_000_000;
 const DAY_US: i64 = 86_400_000_000;
--- a/crates/records/build.rs
+++ b/crates/records/build.rs
@@ -6,9 +6,6 @@
     let mut config = prost_build::Config::new();
     config.btree_map(["."]);
     config.type_attribute(".", "#[derive(serde::Serialize)]");
-    config.type_attribute(".", "#[allow(missing_docs)]");
-    config.field_attribute(".", "#[allow(missing_docs)]");
-    config.enum_attribute(".", "#[allow(missing_docs)]");
     config.compile_fds(files)?;
     Ok(())
 }
--- a/crates/records/src/course.rs
+++ b/crates/records/src/course.rs
@@ -196,10 +196,11 @@
                 }
             }
             Some(Kind::StreamLeft(of)) => *course.ended.entry(of.reason.clone()).or_default() += 1,
-            Some(Kind::LifeChanged(of)) if of.life() == Life::Draining => {
-                if !course.drains.iter().any(|(_, known)| *known == of.server) {
-                    course.drains.push((at, of.server.clone()));
-                }
+            Some(Kind::LifeChanged(of))
+                if of.life() == Life::Draining
+                    && !course.drains.iter().any(|(_, known)| *known == of.server) =>
+            {
+                course.drains.push((at, of.server.clone()));
             }
             _ => {}
         }
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod index;
 pub mod jobs;
 pub mod kind;
+pub mod observe;
 pub mod recorder;
 pub mod replay;
 pub mod segment;
--- a/crates/records/src/recorder.rs
+++ b/crates/records/src/recorder.rs
@@ -305,6 +305,6 @@
 }
 
 fn tell(found: &Recovered) {
-    let text = crate::text::line(&Kind::Recovered(found.clone()));
+    let text = crate::text::line(&Kind::Recovered(*found));
     tracing::info!("{text}");
 }
--- a/crates/records/src/store.rs
+++ b/crates/records/src/store.rs
@@ -217,7 +217,7 @@
             let mut next = Store::open(directory.path(), "n0").expect("the next start");
             let found = next.recovered().expect("a look").expect("a start before");
             assert_eq!((found.incarnation, found.records, found.stopped), (1, kept as u64, false));
-            let torn = cut - ends.iter().filter(|end| **end <= cut).next_back().copied().unwrap_or(0);
+            let torn = cut - ends.iter().rfind(|end| **end <= cut).copied().unwrap_or(0);
             assert_eq!(found.torn_bytes, torn as u64, "cut at {cut}");
             next.append(&framed(&records(1)), 1, 0).expect("an append");
             let its = next.writing().expect("a segment");
--- /dev/null
+++ b/crates/supervisor/src/cli.rs
@@ -0,0 +1,132 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+
+/// A table manager that assigns servers to proxies, and the tools round it.
+///
+/// Without a command it serves, as `serve` does.
+#[derive(Debug, Parser)]
+#[command(name = "chutegrade", version, args_conflicts_with_subcommands = true)]
+pub struct Cli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+    /// How to serve, where no command is given.
+    #[command(flatten)]
+    pub serve: Serve,
+}
+
+/// What can be done.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serve proxies in the foreground, configured by LB_CONFIG, until SIGTERM.
+    Serve(Serve),
+    /// Check a configuration and an operators' file, and say what is wrong and where.
+    Check(Check),
+    /// Look at what supervisors recorded.
+    Records(Records),
+}
+
+/// How to serve.
+#[derive(Args, Clone, Debug, Default)]
+pub struct Serve {
+    /// The operators' own file, protobuf text format; what it does not switch on is off.
+    #[arg(long, value_name = "FILE", env = "CHUTEGRADE_OPERATOR")]
+    pub operator: Option<PathBuf>,
+}
+
+/// What to check.
+#[derive(Args, Debug)]
+pub struct Check {
+    /// The configuration, JSON.
+    #[arg(long, value_name = "FILE", env = "LB_CONFIG")]
+    pub config: Option<PathBuf>,
+    /// The operators' own file.
+    #[arg(long, value_name = "FILE", env = "CHUTEGRADE_OPERATOR")]
+    pub operator: Option<PathBuf>,
+}
+
+/// What to do with records.
+#[derive(Args, Debug)]
+pub struct Records {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: RecordsCommand,
+}
+
+/// What can be done with records.
+#[derive(Debug, Subcommand)]
+pub enum RecordsCommand {
+    /// Read every byte and say what is damaged or missing; code 1 if anything is.
+    Verify {
+        /// Directories of records: of one supervisor, or of several below.
+        #[arg(required = true, value_name = "DIR")]
+        directories: Vec<PathBuf>,
+    },
+    /// Print events in true order, one a line, with every gap.
+    List(List),
+    /// Write records out, whole.
+    Export {
+        /// Which records.
+        #[command(flatten)]
+        list: List,
+        /// The form.
+        #[arg(long, value_enum, default_value_t = Form::Jsonl)]
+        format: Form,
+    },
+}
+
+/// Which records.
+#[derive(Args, Debug, Default)]
+pub struct List {
+    /// Directories of records: of one supervisor, or of several below.
+    #[arg(required = true, value_name = "DIR")]
+    pub directories: Vec<PathBuf>,
+    /// Not before: 2026-12-01T09:12:00Z, 09:12 of the last record's day (UTC), or 10m before the last record.
+    #[arg(long, value_name = "TIME")]
+    pub from: Option<String>,
+    /// Not after.
+    #[arg(long, value_name = "TIME")]
+    pub to: Option<String>,
+    /// Of this kind only, as `state` or `left`; may be given again.
+    #[arg(long, value_name = "KIND")]
+    pub kind: Vec<String>,
+    /// About this server only.
+    #[arg(long, value_name = "NAME")]
+    pub server: Option<String>,
+    /// The figures of each second and the like too.
+    #[arg(long)]
+    pub all: bool,
+}
+
+/// How records are written out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Form {
+    /// One JSON object a line.
+    Jsonl,
+    /// Comma-separated values with a head.
+    Csv,
+    /// As `list` prints them.
+    Text,
+}
+
+#[cfg(test)]
+mod tests {
+    use clap::CommandFactory;
+
+    use super::*;
+
+    #[test]
+    fn the_command_line_is_sound() {
+        Cli::command().debug_assert();
+    }
+
+    #[test]
+    fn without_a_command_it_serves() {
+        let cli = Cli::parse_from(["chutegrade", "--operator", "/x"]);
+        assert!(cli.command.is_none() && cli.serve.operator == Some(PathBuf::from("/x")));
+        assert!(matches!(Cli::parse_from(["chutegrade", "serve"]).command, Some(Command::Serve(_))));
+    }
+}
--- a/crates/supervisor/src/clients.rs
+++ b/crates/supervisor/src/clients.rs
@@ -4,12 +4,13 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use chutegrade_engine::{Report, StreamId};
+use chutegrade_engine::{Micros, Report, StreamId};
+use chutegrade_records::{pb, Kind};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
 
 use crate::ending::{End, Ending};
-use crate::hub::{Bell, Hub};
+use crate::hub::{micros, Bell, Hub};
 use crate::lines::{send, Lines};
 use crate::wire::{self, Fault, Hello, Message, Run};
 
@@ -43,6 +44,8 @@
 ) -> Result<Infallible, End> {
     let (stream, bell) = hub.open_stream();
     let older = hub.engine().stream_of(id);
+    let begun = hub.clock.now();
+    let zone = site.clone();
     let joined = Report::Joined { stream, proxy: id, zone: site, rate: rps, new };
     if let Err(unknown) = hub.try_report(joined) {
         hub.close_stream(stream);
@@ -51,6 +54,7 @@
     if let Some(older) = older {
         hub.replace(older);
     }
+    hub.note(Kind::StreamJoined(pb::StreamJoined { proxy: id, zone: zone.clone(), rate: rps, new }));
     let expected = Expected::default();
     let end = tokio::select! {
         end = reports(hub, &mut lines, (stream, id), &bell, &expected, silence) => end,
@@ -58,11 +62,28 @@
         () = bell.replaced() => Err(Ending::Replaced.into()),
     };
     hub.close_stream(stream);
+    note_end(hub, (id, zone), begun, &end, silence);
     // A stream whose place a newer one has taken has left already: its late end changes nothing.
     let _ = hub.try_report(Report::Left(stream));
     end
 }
 
+/// Notes the end of a stream; one that fell silent did so when it was last heard.
+fn note_end(
+    hub: &Hub,
+    (proxy, zone): (u32, String),
+    begun: Micros,
+    end: &Result<Infallible, End>,
+    silence: Duration,
+) {
+    let Err(end) = end else { return };
+    let learned = hub.clock.now();
+    let at = if end.reason == Ending::Silent { learned - micros(silence) } else { learned };
+    let lasted_ms = u64::try_from((at - begun).0 / 1000).unwrap_or_default();
+    let left = pb::StreamLeft { proxy, zone, reason: end.reason.code().to_string(), lasted_ms };
+    hub.note_at(at, learned, Kind::StreamLeft(left));
+}
+
 /// Takes in what the proxy says; never waits for what is written to it.
 async fn reports(
     hub: &Hub,
--- a/crates/supervisor/src/config.rs
+++ b/crates/supervisor/src/config.rs
@@ -144,6 +144,11 @@
     }
 }
 
+/// What is wrong with a configuration, as a start without an environment would find; JSON faults tell line and column.
+pub fn check(path: &str) -> Option<Fault> {
+    load(path).and_then(|file| read(file, |_| None)).err()
+}
+
 fn load(path: &str) -> Result<File, Fault> {
     let text = std::fs::read(path).map_err(|fault| Fault::File(path.to_string(), fault))?;
     Ok(serde_json::from_slice(&text)?)
--- a/crates/supervisor/src/hub.rs
+++ b/crates/supervisor/src/hub.rs
@@ -1,14 +1,17 @@
 //! What the tasks share: the engine, the clock, and who is to be woken when something is due.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use chutegrade_engine::{Engine, ListWish, Micros, Report, StreamId, Unknown};
+use chutegrade_records::Kind;
 use tokio::sync::{watch, Notify};
 
 use crate::ending::{End, Ending};
+use crate::recording::Book;
+use crate::serve::length;
 use crate::wire::{Fault, Run};
 
 /// One time base for all: Unix time at the start, carried on by a clock that never steps.
@@ -77,6 +80,8 @@
     /// What the decisions want of the list.
     pub wish: watch::Sender<ListWish>,
     dropped: RefCell<(u64, String)>,
+    /// Where records go, if they are wanted.
+    book: OnceCell<Book>,
 }
 
 impl Hub {
@@ -91,9 +96,48 @@
             stopping: watch::channel(false).0,
             wish: watch::channel(ListWish::default()).0,
             dropped: RefCell::default(),
+            book: OnceCell::new(),
         })
     }
 
+    /// From now on what happens is recorded.
+    pub fn record(&self, book: Book) {
+        self.engine.borrow_mut().record();
+        let _ = self.book.set(book);
+    }
+
+    /// Notes what happens now, where records are wanted.
+    pub fn note(&self, kind: Kind) {
+        let now = self.clock.now();
+        self.note_at(now, now, kind);
+    }
+
+    /// Notes what happened at one time and was learned at another.
+    pub fn note_at(&self, at: Micros, learned: Micros, kind: Kind) {
+        if let Some(book) = self.book.get() {
+            book.note(at, learned, kind);
+        }
+    }
+
+    /// Notes what is due of the fleet in figures.
+    pub fn note_series(&self) {
+        if let Some(book) = self.book.get() {
+            book.series(&self.clock, &self.engine.borrow());
+        }
+    }
+
+    /// How long until a figure is due.
+    pub fn series_due(&self) -> Duration {
+        self.book.get().map_or(Duration::MAX, |book| length(book.due(self.clock.now())))
+    }
+
+    /// Writes the last records.
+    pub fn close_book(&self) {
+        if let Some(book) = self.book.get() {
+            book.close();
+        }
+    }
+
     /// Hands a report to the engine for the next tick; one that names what is not known is dropped and counted.
     pub fn report(&self, report: Report) {
         if let Err(unknown) = self.try_report(report) {
--- a/crates/supervisor/src/list.rs
+++ b/crates/supervisor/src/list.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use chutegrade_engine::{ListKind, ListWish, Report};
+use chutegrade_records::{pb, Kind};
 use futures_util::TryStreamExt;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -88,6 +89,8 @@
         let Err(reason) = ended else { return };
         if !std::mem::replace(&mut self.failing, true) {
             tracing::warn!(%reason, "discovery does not tell");
+            let reason = reason.code().to_string();
+            self.hub.note(Kind::Discovery(pb::Discovery { tells: false, reason }));
         }
         // Where calls are asked for one by one, the decisions say when to try again.
         if self.on_request {
@@ -148,6 +151,7 @@
         self.wait = AGAIN.0;
         if std::mem::take(&mut self.failing) {
             tracing::info!("discovery tells again");
+            self.hub.note(Kind::Discovery(pb::Discovery { tells: true, reason: String::new() }));
         }
     }
 
--- a/crates/supervisor/src/listener.rs
+++ b/crates/supervisor/src/listener.rs
@@ -111,7 +111,7 @@
 
 /// Accepts connections, with so many descriptors in all and that limit on a proxy's silence, until the supervisor stops.
 pub async fn serve(hub: Rc<Hub>, listener: TcpListener, sockets: usize, silence: Duration) {
-    let (proxies, zones) = hub.engine().fleet();
+    let (proxies, zones) = hub.engine().size();
     let doors = Rc::new(Doors {
         strangers: Places::new(strangers(sockets, proxies, zones)),
         collectors: Collectors::default(),
--- a/crates/supervisor/src/main.rs
+++ b/crates/supervisor/src/main.rs
@@ -1,5 +1,7 @@
-//! chutegrade on sockets: one supervisor in the foreground. See docs/architecture.md for how the parts fit.
+//! chutegrade: one supervisor on sockets, and the tools that read what it recorded. See docs/architecture.md for how the
+//! parts fit.
 
+mod cli;
 mod clients;
 mod collectors;
 mod config;
@@ -9,148 +11,62 @@
 mod lines;
 mod list;
 mod listener;
+mod recording;
+mod serve;
 mod servers;
+mod tools;
 mod wire;
 
-use std::net::SocketAddr;
+use std::io::ErrorKind;
 use std::process::ExitCode;
-use std::rc::Rc;
-use std::time::{Duration, Instant};
 
-use chutegrade_engine::{Engine, Micros, ReportSource};
-use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
-use tokio::task::LocalSet;
+use clap::Parser;
 
-use crate::config::{Config, Reloaded, Source};
-use crate::hub::Hub;
-use crate::servers::Servers;
+use crate::cli::{Cli, Command};
 
-/// Time between two lines on dropped reports: a peer that names what is not known may do so a thousand times a second.
-const DROPPED_EVERY: Duration = Duration::from_secs(10);
-/// How long connections may take to leave their log lines once the supervisor stops.
-const LAST_WORDS: Duration = Duration::from_millis(100);
-
-fn main() -> ExitCode {
-    let level =
-        std::env::var("LB_LOG").ok().and_then(|level| level.parse().ok()).unwrap_or(tracing::Level::INFO);
-    let log = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_target(false);
-    log.with_writer(std::io::stderr).init();
-    let started = config::from_env().map_err(|fault| fault.to_string()).and_then(start);
-    match started {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            tracing::error!("chutegrade cannot run: {fault}");
-            ExitCode::FAILURE
-        }
-    }
+/// Why a command did not do what it should.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// One sentence on what is wrong.
+    #[error("{0}")]
+    Said(String),
+    /// Nobody reads the output any more, which is no fault.
+    #[error("the reader has gone")]
+    Gone,
 }
 
-fn start((config, source): (Config, Source)) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|fault| format!("no runtime: {fault}"))?;
-    LocalSet::new().block_on(&runtime, run(config, source))
-}
-
-/// Wires the parts, and ends at SIGTERM, or with what failed.
-async fn run(config: Config, source: Source) -> Result<(), String> {
-    // Before all else: a signal that nobody handles ends the program.
-    let signals = |kind| signal(kind).map_err(|fault| format!("no signals: {fault}"));
-    let (mut terminate, replaced) = (signals(SignalKind::terminate())?, signals(SignalKind::hangup())?);
-    let listener = listener::bind(config.listen)
-        .map_err(|fault| format!("cannot listen at {}: {fault}", config.listen))?;
-    let listen = listener.local_addr().map_err(|fault| format!("no address: {fault}"))?;
-    let reports = config.settings.reports != ReportSource::None;
-    let on_request = config.settings.list_on_request;
-    let silence = clients::silence(length(config.settings.report_period));
-    let keep = length(config.settings.idle_close);
-    let names = config.names;
-    let engine = Engine::new(config.settings, config.seed, names.zones, names.classes, names.kinds);
-    let hub = Hub::new(engine);
-    let servers = Servers::new(reports, length(Micros::from_ms(config.connect_ms)), keep);
-    let index = config.known.as_ref().map(|(index, _)| *index);
-    if let Some((_, known)) = config.known {
-        hub.report(known);
-    }
-    let between = length(Micros::from_ms(config.tick_ms));
-    // The first tick comes before the first connection is accepted: whoever gets an answer finds a supervisor that
-    // has begun with the list it last had.
-    let ticking = tokio::task::spawn_local(ticks(hub.clone(), servers, between));
-    let (moved, discovery) = watch::channel(config.discovery);
-    let reloading = tokio::task::spawn_local(reloads(replaced, source, moved));
-    let list = list::List::new(hub.clone(), discovery, index, on_request);
-    let listing = tokio::task::spawn_local(list.run());
-    let serving = listener::serve(hub.clone(), listener, config.limits.sockets, silence);
-    let serving = tokio::task::spawn_local(serving);
-    tracing::info!(name = config.name, %listen, discovery = %config.discovery, "started");
-    // None of the four ends while all is well; one that did would leave a supervisor that only seems to serve.
-    tokio::select! {
-        _ = terminate.recv() => tracing::info!("stopping"),
-        _ = ticking => return Err("the decisions have stopped".to_string()),
-        _ = reloading => return Err("reading new configurations has stopped".to_string()),
-        _ = listing => return Err("following the list has stopped".to_string()),
-        _ = serving => return Err("accepting connections has stopped".to_string()),
-    }
-    hub.stopping.send_replace(true);
-    tokio::time::sleep(LAST_WORDS).await;
-    Ok(())
-}
-
-/// Reads the configuration anew at each SIGHUP; signals that come while it reads count as one more.
-async fn reloads(mut replaced: Signal, mut source: Source, moved: watch::Sender<SocketAddr>) {
-    while replaced.recv().await.is_some() {
-        match source.reload() {
-            Ok(Reloaded { discovery, later }) => {
-                tracing::info!(%discovery, restart_for = later.join(","), "reloaded");
-                moved.send_if_modified(|address| std::mem::replace(address, discovery) != discovery);
-            }
-            Err(fault) => tracing::error!(%fault, "the new configuration is not taken, the old one holds"),
+impl From<std::io::Error> for Fault {
+    fn from(fault: std::io::Error) -> Self {
+        if fault.kind() == ErrorKind::BrokenPipe {
+            Fault::Gone
+        } else {
+            Fault::Said(format!("the output cannot be written: {fault}"))
         }
     }
 }
 
-/// Ticks the engine when a timer is due or reports wait, no denser than the settings allow, and hands out what
-/// is due then.
-async fn ticks(hub: Rc<Hub>, servers: Rc<Servers>, between: Duration) {
-    let mut told = Instant::now();
-    loop {
-        let ticked = Instant::now();
-        let now = hub.clock.now();
-        let next = hub.engine().tick(now);
-        hand_out(&hub, &servers);
-        if told.elapsed() >= DROPPED_EVERY {
-            told = Instant::now();
-            let (reports, last) = hub.take_dropped();
-            if reports > 0 {
-                tracing::warn!(reports, last, "reports dropped");
-            }
-        }
-        let due = next.map_or(Duration::from_secs(1), |next| length(next - hub.clock.now()));
-        if tokio::time::timeout(due, hub.reported()).await.is_ok() {
-            tokio::time::sleep(between.saturating_sub(ticked.elapsed())).await;
-        }
+impl From<String> for Fault {
+    fn from(said: String) -> Self {
+        Fault::Said(said)
     }
 }
 
-fn length(micros: Micros) -> Duration {
-    Duration::from_micros(u64::try_from(micros.0).unwrap_or_default())
-}
-
-fn hand_out(hub: &Rc<Hub>, servers: &Rc<Servers>) {
-    let reached = hub.engine().pick_streams();
-    for stream in reached {
-        hub.ring(stream);
-    }
-    loop {
-        let probe = hub.engine().pick_probe();
-        let Some(probe) = probe else { break };
-        servers.probe(hub, probe);
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let command = cli.command.unwrap_or(Command::Serve(cli.serve));
+    if let Command::Serve(serve) = command {
+        return serve::main(serve.operator.as_deref());
     }
-    let wish = hub.engine().pick_list();
-    hub.wish_list(wish);
-    loop {
-        let text = hub.engine().pick_log();
-        let Some(text) = text else { break };
-        tracing::info!("{text}");
+    let done = match command {
+        Command::Serve(_) => Ok(()),
+        Command::Check(check) => tools::check(&check, &mut std::io::stdout().lock()),
+        Command::Records(records) => tools::records(&records, &mut std::io::stdout().lock()),
+    };
+    match done {
+        Ok(()) | Err(Fault::Gone) => ExitCode::SUCCESS,
+        Err(Fault::Said(said)) => {
+            eprintln!("chutegrade: {said}");
+            ExitCode::FAILURE
+        }
     }
 }
--- /dev/null
+++ b/crates/supervisor/src/serve.rs
@@ -0,0 +1,188 @@
+//! Serving: wires the parts on one thread, ticks the decisions, and ends at SIGTERM.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use chutegrade_engine::{Engine, Micros, ReportSource};
+use chutegrade_operator::{LogFormat, Operator};
+use chutegrade_records::{pb, text, Kind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::config::{self, Config, Reloaded, Source};
+use crate::hub::Hub;
+use crate::recording::Book;
+use crate::servers::Servers;
+use crate::{clients, list, listener};
+
+/// Time between two lines on dropped reports: a peer that names what is not known may do so a thousand times a second.
+const DROPPED_EVERY: Duration = Duration::from_secs(10);
+/// How long connections may take to leave their log lines once the supervisor stops.
+const LAST_WORDS: Duration = Duration::from_millis(100);
+
+/// Serves until SIGTERM; a fault is one sentence and code 1.
+pub fn main(operator: Option<&Path>) -> ExitCode {
+    let operator = operator.map_or_else(|| Ok(Operator::default()), chutegrade_operator::load);
+    log(operator.as_ref().map_or(LogFormat::Plain, |operator| operator.log));
+    let operator = operator.map_err(|faults| {
+        let said: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        said.join("; ")
+    });
+    let started = operator.and_then(|operator| {
+        config::from_env().map_err(|fault| fault.to_string()).and_then(|told| start(told, &operator))
+    });
+    match started {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            tracing::error!("chutegrade cannot run: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn log(format: LogFormat) {
+    let level =
+        std::env::var("LB_LOG").ok().and_then(|level| level.parse().ok()).unwrap_or(tracing::Level::INFO);
+    let log = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_target(false);
+    let log = log.with_writer(std::io::stderr);
+    match format {
+        LogFormat::Plain => log.init(),
+        LogFormat::Json => log.json().flatten_event(true).with_current_span(false).init(),
+    }
+}
+
+fn start((config, source): (Config, Source), operator: &Operator) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|fault| format!("no runtime: {fault}"))?;
+    LocalSet::new().block_on(&runtime, run(config, source, operator))
+}
+
+/// Wires the parts, and ends at SIGTERM, or with what failed.
+async fn run(config: Config, source: Source, operator: &Operator) -> Result<(), String> {
+    // Before all else: a signal that nobody handles ends the program.
+    let signals = |kind| signal(kind).map_err(|fault| format!("no signals: {fault}"));
+    let (mut terminate, replaced) = (signals(SignalKind::terminate())?, signals(SignalKind::hangup())?);
+    let listener = listener::bind(config.listen)
+        .map_err(|fault| format!("cannot listen at {}: {fault}", config.listen))?;
+    let listen = listener.local_addr().map_err(|fault| format!("no address: {fault}"))?;
+    let reports = config.settings.reports != ReportSource::None;
+    let on_request = config.settings.list_on_request;
+    let silence = clients::silence(length(config.settings.report_period));
+    let keep = length(config.settings.idle_close);
+    let names = config.names;
+    let engine = Engine::new(config.settings, config.seed, names.zones, names.classes, names.kinds);
+    let hub = Hub::new(engine);
+    if let Some(records) = &operator.records {
+        let book = Book::open(records, &config.name, hub.clock);
+        hub.record(book.map_err(|fault| format!("no thread for the records: {fault}"))?);
+    }
+    let (zones, classes) = hub.engine().vocabulary();
+    let version = env!("CARGO_PKG_VERSION").to_string();
+    hub.note(Kind::Started(pb::Started { version, listen: listen.to_string(), zones, classes }));
+    let servers = Servers::new(reports, length(Micros::from_ms(config.connect_ms)), keep);
+    let index = config.known.as_ref().map(|(index, _)| *index);
+    if let Some((_, known)) = config.known {
+        hub.report(known);
+    }
+    let between = length(Micros::from_ms(config.tick_ms));
+    // The first tick comes before the first connection is accepted: whoever gets an answer finds a supervisor that
+    // has begun with the list it last had.
+    let ticking = tokio::task::spawn_local(ticks(hub.clone(), servers, between));
+    let (moved, discovery) = watch::channel(config.discovery);
+    let reloading = tokio::task::spawn_local(reloads(hub.clone(), replaced, source, moved));
+    let list = list::List::new(hub.clone(), discovery, index, on_request);
+    let listing = tokio::task::spawn_local(list.run());
+    let serving = listener::serve(hub.clone(), listener, config.limits.sockets, silence);
+    let serving = tokio::task::spawn_local(serving);
+    tracing::info!(name = config.name, %listen, discovery = %config.discovery, "started");
+    // None of the four ends while all is well; one that did would leave a supervisor that only seems to serve.
+    tokio::select! {
+        _ = terminate.recv() => tracing::info!("stopping"),
+        _ = ticking => return Err("the decisions have stopped".to_string()),
+        _ = reloading => return Err("reading new configurations has stopped".to_string()),
+        _ = listing => return Err("following the list has stopped".to_string()),
+        _ = serving => return Err("accepting connections has stopped".to_string()),
+    }
+    hub.stopping.send_replace(true);
+    tokio::time::sleep(LAST_WORDS).await;
+    hub.note(Kind::Stopped(pb::Stopped { reason: "SIGTERM".to_string() }));
+    hub.close_book();
+    Ok(())
+}
+
+/// Reads the configuration anew at each SIGHUP; signals that come while it reads count as one more.
+async fn reloads(hub: Rc<Hub>, mut replaced: Signal, mut source: Source, moved: watch::Sender<SocketAddr>) {
+    let note = |taken, detail| hub.note(Kind::Reloaded(pb::Reloaded { taken, detail }));
+    while replaced.recv().await.is_some() {
+        match source.reload() {
+            Ok(Reloaded { discovery, later }) => {
+                let later = later.join(",");
+                tracing::info!(%discovery, restart_for = later, "reloaded");
+                note(true, format!("discovery at {discovery}, waiting for a restart: [{later}]"));
+                moved.send_if_modified(|address| std::mem::replace(address, discovery) != discovery);
+            }
+            Err(fault) => {
+                tracing::error!(%fault, "the new configuration is not taken, the old one holds");
+                note(false, fault.to_string());
+            }
+        }
+    }
+}
+
+/// Ticks the engine when a timer is due or reports wait, no denser than the settings allow, and hands out what
+/// is due then.
+async fn ticks(hub: Rc<Hub>, servers: Rc<Servers>, between: Duration) {
+    let mut told = Instant::now();
+    loop {
+        let ticked = Instant::now();
+        let now = hub.clock.now();
+        let next = hub.engine().tick(now);
+        hand_out(&hub, &servers);
+        hub.note_series();
+        if told.elapsed() >= DROPPED_EVERY {
+            told = Instant::now();
+            let (reports, last) = hub.take_dropped();
+            if reports > 0 {
+                tracing::warn!(reports, last, "reports dropped");
+                hub.note(Kind::ReportsDropped(pb::ReportsDropped { count: reports, last }));
+            }
+        }
+        let due = next.map_or(Duration::from_secs(1), |next| length(next - hub.clock.now()));
+        let due = due.min(hub.series_due());
+        if tokio::time::timeout(due, hub.reported()).await.is_ok() {
+            tokio::time::sleep(between.saturating_sub(ticked.elapsed())).await;
+        }
+    }
+}
+
+/// A length of time as the runtime has it.
+pub fn length(micros: Micros) -> Duration {
+    Duration::from_micros(u64::try_from(micros.0).unwrap_or_default())
+}
+
+fn hand_out(hub: &Rc<Hub>, servers: &Rc<Servers>) {
+    let reached = hub.engine().pick_streams();
+    for stream in reached {
+        hub.ring(stream);
+    }
+    loop {
+        let probe = hub.engine().pick_probe();
+        let Some(probe) = probe else { break };
+        servers.probe(hub, probe);
+    }
+    let wish = hub.engine().pick_list();
+    hub.wish_list(wish);
+    let now = hub.clock.now();
+    loop {
+        let noted = hub.engine().pick_note(now);
+        let Some(noted) = noted else { break };
+        if noted.logged {
+            tracing::info!("{}", text::line(&noted.kind));
+        }
+        hub.note_at(noted.at, noted.learned, noted.kind);
+    }
+}
--- /dev/null
+++ b/crates/supervisor/src/tools.rs
@@ -0,0 +1,191 @@
+//! `check` and `records`: what can be said of files without serving.
+
+use std::io::Write;
+use std::path::PathBuf;
+
+use chutegrade_records::index::Query;
+use chutegrade_records::timeline::{is_event, verify, Event, Gap, Timeline};
+use chutegrade_records::{kind, text};
+use serde_json::{json, Value};
+
+use crate::cli::{Check, Form, List, Records, RecordsCommand};
+use crate::{config, Fault};
+
+/// `check`: every fault on a line of its own; an error if there is one.
+pub fn check(check: &Check, out: &mut impl Write) -> Result<(), Fault> {
+    let mut faults = Vec::new();
+    if check.config.is_none() && check.operator.is_none() {
+        return Err(Fault::Said(
+            "nothing to check: give --config FILE, --operator FILE, or both".to_string(),
+        ));
+    }
+    if let Some(path) = &check.config {
+        let said = config::check(&path.to_string_lossy());
+        faults.extend(said.map(|fault| format!("{}: {fault}", path.display())));
+    }
+    if let Some(path) = &check.operator {
+        let said = chutegrade_operator::load(path).err().unwrap_or_default();
+        faults.extend(said.iter().map(ToString::to_string));
+    }
+    for fault in &faults {
+        writeln!(out, "{fault}")?;
+    }
+    match faults.len() {
+        0 => writeln!(out, "nothing is wrong").map_err(Fault::from),
+        1 => Err(Fault::Said("1 fault".to_string())),
+        more => Err(Fault::Said(format!("{more} faults"))),
+    }
+}
+
+/// `records`.
+pub fn records(records: &Records, out: &mut impl Write) -> Result<(), Fault> {
+    match &records.command {
+        RecordsCommand::Verify { directories } => verify_all(directories, out),
+        RecordsCommand::List(list) => export(list, Form::Text, out),
+        RecordsCommand::Export { list, format } => export(list, *format, out),
+    }
+}
+
+fn said(fault: impl ToString) -> Fault {
+    Fault::Said(fault.to_string())
+}
+
+fn verify_all(directories: &[PathBuf], out: &mut impl Write) -> Result<(), Fault> {
+    let timeline = Timeline::open(directories).map_err(said)?;
+    let mut unsound = 0;
+    for supervisor in &timeline.supervisors {
+        let found = verify(&supervisor.directory).map_err(said)?;
+        unsound += u64::from(!found.sound());
+        write!(
+            out,
+            "{}: {} records in {} segments",
+            supervisor.directory.display(),
+            found.records,
+            found.segments
+        )?;
+        let counts = [
+            (found.newer, "of a newer version"),
+            (found.torn_bytes, "bytes of torn tails, which a crash leaves"),
+            (found.damaged_bytes, "bytes damaged"),
+            (found.missing, "records missing"),
+            (found.headless, "segments without a head"),
+            (found.wrong_indexes, "indexes that do not fit"),
+        ];
+        for (count, what) in counts.iter().filter(|(count, _)| *count > 0) {
+            write!(out, ", {count} {what}")?;
+        }
+        writeln!(out, "{}", if found.sound() { ": sound" } else { ": not sound" })?;
+    }
+    match unsound {
+        0 => Ok(()),
+        _ => {
+            Err(Fault::Said(format!("{unsound} of {} directories are not sound", timeline.supervisors.len())))
+        }
+    }
+}
+
+/// The query that the options ask for; times of day count from the last record.
+pub fn query(list: &List, timeline: &Timeline) -> Result<Query, Fault> {
+    let last = timeline.span().map_or(0, |span| span.to_us);
+    let time = |given: &Option<String>| given.as_ref().map(|text| text::parse_time(text, last)).transpose();
+    let (from_us, to_us) = (time(&list.from).map_err(said)?, time(&list.to).map_err(said)?);
+    if let (Some(from), Some(to)) = (from_us, to_us) {
+        if from > to {
+            let (from, to) = (text::time(from), text::time(to));
+            return Err(Fault::Said(format!("nothing lies between {from} and {to}: --from is after --to")));
+        }
+    }
+    let number = |name: &String| {
+        let known = || kind::KINDS.map(|(_, name)| name).join(", ");
+        kind::by_name(name).ok_or_else(|| Fault::Said(format!("no kind {name:?}: give one of {}", known())))
+    };
+    let kinds = list.kind.iter().map(number).collect::<Result<Vec<u32>, Fault>>()?;
+    Ok(Query { from_us, to_us, kinds, server: list.server.clone() })
+}
+
+fn export(list: &List, form: Form, out: &mut impl Write) -> Result<(), Fault> {
+    let timeline = Timeline::open(&list.directories).map_err(said)?;
+    let query = query(list, &timeline)?;
+    let (events, gaps) = timeline.read(&query);
+    let wanted = |event: &&Event| list.all || !list.kind.is_empty() || is_event(event);
+    if form == Form::Csv {
+        writeln!(out, "at,learned,supervisor,start,seq,kind,server,text")?;
+    }
+    let mut gaps = gaps.iter().peekable();
+    for event in events.iter().filter(wanted) {
+        while let Some(gap) = gaps.next_if(|gap| gap.from_us <= event.at_us) {
+            write_gap(gap, form, out)?;
+        }
+        write_event(event, form, out)?;
+    }
+    for gap in gaps {
+        write_gap(gap, form, out)?;
+    }
+    out.flush().map_err(Fault::from)
+}
+
+fn csv(text: &str) -> String {
+    if text.contains([',', '"', '\n', '\r']) {
+        format!("\"{}\"", text.replace('"', "\"\""))
+    } else {
+        text.to_string()
+    }
+}
+
+/// Text from a name that a peer gave, without what moves a terminal's cursor.
+fn printable(text: &str) -> String {
+    text.chars().map(|c| if c.is_control() { '\u{fffd}' } else { c }).collect()
+}
+
+fn write_event(event: &Event, form: Form, out: &mut impl Write) -> std::io::Result<()> {
+    let (at, learned) = (text::time(event.at_us), text::time(event.learned_us()));
+    let (by, start, seq) = (&event.supervisor, event.incarnation, event.record.seq);
+    let (name, line) = (kind::name(event.number), event.line());
+    let server = event.record.kind.as_ref().and_then(kind::server).unwrap_or_default();
+    match form {
+        Form::Text => {
+            let late = event.learned_us().saturating_sub(event.at_us);
+            let late = if late >= 1000 {
+                format!("  [learned {} later]", text::length(late))
+            } else {
+                String::new()
+            };
+            writeln!(out, "{at}  {}  {}{late}", printable(by), printable(&line))
+        }
+        Form::Csv => {
+            let cells = [&at, &learned, &**by, &start.to_string(), &seq.to_string(), name, server, &line];
+            writeln!(out, "{}", cells.map(csv).join(","))
+        }
+        Form::Jsonl => {
+            let record = serde_json::to_value(&event.record.kind).unwrap_or(Value::Null);
+            let fields = record.as_object().and_then(|of| of.values().next().cloned()).unwrap_or(Value::Null);
+            let mut row = json!({"at": at, "learned": learned, "supervisor": &**by, "start": start, "seq": seq,
+                                 "kind": name, "number": event.number, "text": line, "fields": fields});
+            if let (Some(row), Some(bytes)) = (row.as_object_mut(), &event.newer) {
+                let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+                row.insert("record_hex".to_string(), Value::String(hex));
+            }
+            writeln!(out, "{row}")
+        }
+    }
+}
+
+fn write_gap(gap: &Gap, form: Form, out: &mut impl Write) -> std::io::Result<()> {
+    let (from, to) = (text::time(gap.from_us), text::time(gap.to_us));
+    let (by, line) = (&gap.supervisor, gap.line());
+    match form {
+        Form::Text if gap.from_us == i64::MIN => {
+            writeln!(out, "--- {} {}: {line}, until {to}", printable(by), gap.reason.word())
+        }
+        Form::Text => writeln!(out, "{from}  {}  --- gap: {line}", printable(by)),
+        Form::Csv => {
+            let cells = [&from, &to, &**by, "", "", "gap", "", &line];
+            writeln!(out, "{}", cells.map(csv).join(","))
+        }
+        Form::Jsonl => {
+            let row = json!({"kind": "gap", "supervisor": &**by, "from": from, "to": to,
+                             "reason": gap.reason.word(), "missing": gap.missing, "text": line});
+            writeln!(out, "{row}")
+        }
+    }
+}
--- a/crates/supervisor/tests/serving.rs
+++ b/crates/supervisor/tests/serving.rs
@@ -189,7 +189,7 @@
     behind.set("s-2", servers[1].address, "draining");
     behind.set("s-3", servers[2].address, "draining");
     proxy.applies("the news", |proxy| proxy.picks("lookup") == ["s-1"]).await;
-    assert_eq!(supervisor.logged(&["s-2 InService"]), 0);
+    assert_eq!(supervisor.logged(&["s-2 in service"]), 0);
     // Where the numbers start anew for good, what is told holds in the end.
     behind.count_from(1);
     behind.set("s-2", servers[1].address, "up");
