Console, HTML report, and a stand-in fleet with scripted incidents and ground truth

Change: crates/console (ratatui) shows fleet, figures and events of several supervisors side by side, live or at a moment of the past, and hatches what is not known; crates/report writes one self-contained page in slices of time; crates/standins takes over the test support and grows a fleet that works and can be troubled, a scripted incident with ground truth, and a demo. The module notes each change of a server's life, also from draining to gone.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -323,8 +323,8 @@
             match self.servers.get_mut(&entry.server) {
                 // A process that started anew is another server in all that matters: cold, with no past.
                 Some(known) if entry.started > known.entry.started => {
-                    let (shut, dealt) = (known.shut, known.dealt);
-                    *known = Server { shut, dealt, ..Server::new(*entry, !cold) };
+                    let (shut, dealt, told) = (known.shut, known.dealt, known.told);
+                    *known = Server { shut, dealt, told, ..Server::new(*entry, !cold) };
                 }
                 Some(known) => known.entry = *entry,
                 None => {
@@ -718,7 +718,11 @@
             self.tables.retain(|table, _| self.schemes.iter().any(|scheme| scheme.table == *table));
         }
         for (id, server) in &mut self.servers {
-            let leaves = server.entry.life != Lifecycle::InService;
+            let (zone, life) = (server.entry.zone, server.entry.life);
+            if std::mem::replace(&mut server.told, life) != life {
+                orders.actions.push(Action::Note(Note::Life { server: *id, zone, life }));
+            }
+            let leaves = life != Lifecycle::InService;
             let names = |table: &&TableId| self.tables.get(table).is_some_and(|t| t.lines.contains_key(id));
             if server.shut == leaves || (!leaves && self.tables.keys().any(|table| names(&table))) {
                 continue;
@@ -728,8 +732,6 @@
             let holds = |p: &Proxy| p.tables.is_empty() || p.tables.iter().any(|table| named.contains(table));
             let holders = self.proxies.iter().filter(|(_, proxy)| holds(proxy)).map(|(id, _)| *id);
             orders.give(Action::Withdraw { server: *id, out: leaves }, holders);
-            let (zone, life) = (server.entry.zone, server.entry.life);
-            orders.actions.push(Action::Note(Note::Life { server: *id, zone, life }));
         }
     }
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -93,6 +93,7 @@
     pub out_ticks: u32,
     pub return_after: u32,
     pub ceiling: f64,
+    pub told: Lifecycle,
     pub shut: bool,
 }
 
--- a/crates/records/src/course.rs
+++ b/crates/records/src/course.rs
@@ -122,34 +122,43 @@
     pub standings: Standings,
 }
 
-/// Follows events one by one.
-struct Follower {
+/// Follows events one by one, so that a day need not be in memory at once.
+pub struct Follower {
     window: Window,
     pictures: BTreeMap<Arc<str>, Picture>,
     open: BTreeMap<(Arc<str>, Trouble), i64>,
+    /// Times at which supervisors were away, the next one last.
+    away: Vec<Gap>,
     course: Course,
 }
 
 /// Tells the course of events, which begin some time before the window so that its begin is known, and of the gaps.
 pub fn tell(events: &[Event], gaps: &[Gap], window: Window) -> Course {
-    let mut follower =
-        Follower { window, pictures: BTreeMap::new(), open: BTreeMap::new(), course: Course::default() };
-    let away = |gap: &&Gap| matches!(gap.reason, GapReason::Crashed | GapReason::Stalled);
-    let mut gaps: Vec<&Gap> = gaps.iter().filter(away).collect();
-    gaps.sort_by_key(|gap| gap.from_us);
-    let mut gaps = gaps.into_iter().peekable();
-    for event in events {
-        while let Some(gap) = gaps.next_if(|gap| gap.from_us <= event.at_us) {
-            follower.away(gap);
-        }
-        follower.follow(event);
-    }
-    gaps.for_each(|gap| follower.away(gap));
+    let mut follower = Follower::new(gaps, window);
+    events.iter().for_each(|event| follower.follow(event));
     follower.finish()
 }
 
 impl Follower {
-    fn follow(&mut self, event: &Event) {
+    /// Follows what happens in a window with these gaps.
+    pub fn new(gaps: &[Gap], window: Window) -> Self {
+        let away = |gap: &&Gap| matches!(gap.reason, GapReason::Crashed | GapReason::Stalled);
+        let mut away: Vec<Gap> = gaps.iter().filter(away).cloned().collect();
+        away.sort_by_key(|gap| std::cmp::Reverse(gap.from_us));
+        let (pictures, open, course) = (BTreeMap::new(), BTreeMap::new(), Course::default());
+        Follower { window, pictures, open, away, course }
+    }
+
+    /// One supervisor's view after what was followed so far.
+    pub fn picture(&self, supervisor: &str) -> Option<&Picture> {
+        self.pictures.get(supervisor)
+    }
+
+    /// Takes in the next event; they come in true order.
+    pub fn follow(&mut self, event: &Event) {
+        while let Some(gap) = self.away.pop_if(|gap| gap.from_us <= event.at_us) {
+            self.gone(&gap);
+        }
         let picture = self.pictures.entry(Arc::clone(&event.supervisor)).or_default();
         let before = picture.clone_light(event);
         picture.apply(&event.record);
@@ -160,7 +169,7 @@
     }
 
     /// A supervisor was away: nothing is known of its servers, and what it held as trouble is not known to last.
-    fn away(&mut self, gap: &Gap) {
+    fn gone(&mut self, gap: &Gap) {
         let trouble = Trouble::Supervisor(Arc::clone(&gap.supervisor));
         self.begin(gap.from_us, Arc::clone(&gap.supervisor), trouble.clone(), gap.line());
         self.end(gap.to_us, &gap.supervisor, &trouble);
@@ -331,7 +340,11 @@
         }
     }
 
-    fn finish(mut self) -> Course {
+    /// The course of it all.
+    pub fn finish(mut self) -> Course {
+        while let Some(gap) = self.away.pop() {
+            self.gone(&gap);
+        }
         let to_us = self.window.to_us;
         for (_, spans) in self.course.standings.values_mut() {
             if let Some(last) = spans.last_mut() {
--- /dev/null
+++ b/crates/report/tests/page.rs
@@ -0,0 +1,141 @@
+//! The page over real directories.
+
+use std::path::{Path, PathBuf};
+
+use chutegrade_records::pb::{self, Record};
+use chutegrade_records::store::Store;
+use chutegrade_records::{frame, Kind, Timeline, Window};
+use chutegrade_report::{gather, report, Limits};
+use prost::Message;
+
+const SECOND: i64 = 1_000_000;
+
+fn write(directory: &Path, name: &str, kinds: Vec<(i64, i64, Kind)>) {
+    let mut frames = Vec::new();
+    for ((at_us, learned_us, kind), seq) in kinds.into_iter().zip(1..) {
+        let record = Record { seq, at_us, learned_us, kind: Some(kind) };
+        assert!(frame::put(&mut frames, &record.encode_to_vec()));
+    }
+    let mut store = Store::open(directory, name).expect("a store");
+    store.append(&frames, 1, 0).expect("an append");
+}
+
+fn state(server: &str, state: pb::State) -> Kind {
+    let (server, zone) = (server.to_string(), "a".to_string());
+    Kind::StateChanged(pb::StateChanged { server, zone, state: state.into(), ..pb::StateChanged::default() })
+}
+
+fn gauge(refused: f64) -> Kind {
+    Kind::Gauge(pb::Gauge {
+        waiting: 12.0,
+        refused,
+        streams: 4,
+        levels: vec![1.0 - refused],
+        ..pb::Gauge::default()
+    })
+}
+
+fn started() -> Kind {
+    Kind::Started(pb::Started {
+        version: "9.9".into(),
+        classes: vec!["lookup".into()],
+        ..pb::Started::default()
+    })
+}
+
+fn seconds(from: i64, to: i64) -> Vec<(i64, i64, Kind)> {
+    let kind = |second: i64| if (20..30).contains(&second) { gauge(0.6) } else { gauge(0.0) };
+    (from..to).map(|second| (second * SECOND, second * SECOND, kind(second))).collect()
+}
+
+fn open(directory: &Path) -> Timeline {
+    Timeline::open(&[PathBuf::from(directory)]).expect("records")
+}
+
+/// The texts of all events of the page, in the order in which they stand.
+fn rows(page: &str) -> Vec<&str> {
+    let events = page.split("class=\"events\"").nth(1).expect("the list of events");
+    let rows = events.split("</tr>").filter(|row| row.contains("<td>"));
+    rows.filter_map(|row| row.rsplit("<td>").next()?.split("</td>").next()).collect()
+}
+
+#[test]
+fn every_event_stands_in_true_order_and_no_gap_is_unmarked() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let mut first = vec![(0, 0, started())];
+    first.extend(seconds(0, 40));
+    first.push((25 * SECOND, 40 * SECOND, state("s-1", pb::State::Withdrawn)));
+    write(&directory.path().join("n0"), "n0", first);
+    let mut second = vec![(60 * SECOND, 60 * SECOND, started())];
+    second.extend(seconds(60, 90));
+    write(&directory.path().join("n0"), "n0", second);
+    let other = vec![
+        (26 * SECOND, 26 * SECOND, state("s-2", pb::State::Reduced)),
+        (28 * SECOND, 28 * SECOND, state("s-2", pb::State::Full)),
+    ];
+    write(&directory.path().join("n1"), "n1", other);
+    let window = Window { from_us: 0, to_us: 90 * SECOND };
+    let page = report(&open(directory.path()), window, Limits::default());
+    let rows = rows(&page);
+    let order: Vec<&str> = rows.iter().map(|row| row.split(',').next().unwrap_or_default()).collect();
+    let crash = "crash for 20.0 s";
+    assert!(order.contains(&crash), "{order:?}");
+    let place = |text: &str| {
+        rows.iter().position(|row| row.starts_with(text)).unwrap_or_else(|| panic!("{text}: {rows:?}"))
+    };
+    assert!(place("s-1 withdrawn") < place("s-2 reduced") && place("s-2 full") < place(crash), "{rows:?}");
+    assert!(page.contains("+15.0 s"), "when it was learned");
+    assert!(
+        page.contains("Shut out for a time: <b>s-1</b>") && page.contains("<b>60 %</b>"),
+        "the sentences"
+    );
+    assert!(page.contains("Trouble began at <b>00:00:25.000</b>"));
+    assert!(page.matches("class=\"hatch\"").count() >= 6, "in every chart");
+    assert!(page.contains("--from 1970-01-01T00:00:00.000Z --to 1970-01-01T00:01:30.000Z"));
+}
+
+/// Danger: a name that a peer chose runs in the browser of whoever reads the report.
+#[test]
+fn text_from_records_is_escaped_and_nothing_is_fetched() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let evil = "<script>alert(1)</script>\"'&</svg>";
+    let kinds = vec![
+        (0, 0, started()),
+        (SECOND, SECOND, state(evil, pb::State::Withdrawn)),
+        (
+            2 * SECOND,
+            2 * SECOND,
+            Kind::StreamLeft(pb::StreamLeft { reason: evil.into(), ..Default::default() }),
+        ),
+    ];
+    write(directory.path(), "<b>n0</b>", kinds);
+    let page = report(&open(directory.path()), Window { from_us: 0, to_us: 3 * SECOND }, Limits::default());
+    assert!(!page.contains("<script") && !page.contains("<b>n0") && page.contains("&lt;script&gt;"));
+    for outside in ["http:", "https:", "src=", "@import", "url(\"", "<link"] {
+        assert!(!page.contains(outside), "{outside}");
+    }
+}
+
+/// Danger: a page of a bad day is too large for a browser.
+#[test]
+fn a_long_day_is_cut_and_says_so() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let joined =
+        |proxy| Kind::StreamJoined(pb::StreamJoined { proxy, zone: "a".into(), ..Default::default() });
+    let kinds = (0..30_000u32).map(|n| (i64::from(n) * SECOND, i64::from(n) * SECOND, joined(n))).collect();
+    write(directory.path(), "n0", kinds);
+    let window = Window { from_us: 0, to_us: 30_000 * SECOND };
+    let limits = Limits { others: 100, ..Limits::default() };
+    let found = gather(&open(directory.path()), window, limits);
+    assert_eq!((found.events.len(), found.left_out["joined"], found.records), (100, 29_900, 30_000));
+    let page = report(&open(directory.path()), window, limits);
+    assert!(page.contains("29900 joined") && page.len() < 200_000, "{}", page.len());
+}
+
+#[test]
+fn a_quiet_time_is_said_to_be_quiet() {
+    let directory = tempfile::tempdir().expect("a directory");
+    write(directory.path(), "n0", seconds(0, 15));
+    let page = report(&open(directory.path()), Window { from_us: 0, to_us: 14 * SECOND }, Limits::default());
+    assert!(page.contains("No trouble was recorded") && page.contains("The records have no gap."));
+}
--- /dev/null
+++ b/crates/standins/src/peer.rs
@@ -0,0 +1,108 @@
+//! Whoever connects to a supervisor: anyone who speaks lines, and a proxy that applies its orders.
+
+use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
+
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+
+use crate::program::Supervisor;
+use crate::tables::Tables;
+use crate::wait::soon;
+
+/// Whoever connects to the supervisor.
+pub struct Peer {
+    stream: BufReader<TcpStream>,
+}
+
+impl Peer {
+    /// Connects.
+    pub async fn connect(address: SocketAddr) -> Self {
+        let stream = soon("a connection", TcpStream::connect(address)).await.expect("a connection");
+        stream.set_nodelay(true).expect("an option");
+        Peer { stream: BufReader::new(stream) }
+    }
+
+    /// Writes a line, in two pieces.
+    pub async fn send(&mut self, line: &str) {
+        let line = format!("{line}\r\n");
+        let (first, rest) = line.split_at(line.len() / 2);
+        self.raw(first.as_bytes()).await;
+        self.raw(rest.as_bytes()).await;
+    }
+
+    /// Writes bytes; a connection that the other side has ended takes none.
+    pub async fn raw(&mut self, bytes: &[u8]) -> bool {
+        soon("room to write", self.stream.get_mut().write_all(bytes)).await.is_ok()
+    }
+
+    /// The next line, without its end; none once the connection has ended.
+    pub async fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        match self.stream.read_line(&mut line).await {
+            Ok(1..) => Some(line.trim_end().to_string()),
+            Ok(0) | Err(_) => None,
+        }
+    }
+
+    /// Waits until the other side ends the connection.
+    pub async fn ended(&mut self) {
+        let mut rest = Vec::new();
+        let _ = soon("the end of the connection", self.stream.read_to_end(&mut rest)).await;
+    }
+}
+
+/// A proxy: joins, applies what is ordered, and answers marks.
+pub struct Proxy {
+    /// Its number.
+    pub id: u32,
+    /// Its stream.
+    pub peer: Peer,
+    /// What it holds.
+    pub tables: Tables,
+}
+
+impl Deref for Proxy {
+    type Target = Tables;
+    fn deref(&self) -> &Tables {
+        &self.tables
+    }
+}
+
+impl DerefMut for Proxy {
+    fn deref_mut(&mut self) -> &mut Tables {
+        &mut self.tables
+    }
+}
+
+impl Proxy {
+    /// Joins a supervisor.
+    pub async fn join(supervisor: &Supervisor, id: u32, new: bool) -> Self {
+        let mut peer = Peer::connect(supervisor.address).await;
+        peer.send(&format!("hello id={id} site=a rps=20.0 new={}", u8::from(new))).await;
+        Proxy { id, peer, tables: Tables::default() }
+    }
+
+    /// The same proxy on a new stream, with all that it holds.
+    pub async fn join_again(&mut self, supervisor: &Supervisor) {
+        self.peer = Peer::connect(supervisor.address).await;
+        self.peer.send(&format!("hello id={} site=a rps=20.0 new=0", self.id)).await;
+    }
+
+    /// Applies messages until something holds.
+    pub async fn applies(&mut self, what: &str, holds: impl Fn(&Proxy) -> bool) {
+        while !holds(self) {
+            let line =
+                soon(what, self.peer.line()).await.unwrap_or_else(|| panic!("the stream ended: {what}"));
+            if let Some(mark) = self.tables.apply(&line).expect("an order that the protocol allows") {
+                self.peer.send(&format!("ack id={} seq={mark} ms=12.5", self.id)).await;
+            }
+        }
+    }
+
+    /// Reports usage.
+    pub async fn demand(&mut self) {
+        let line = format!("demand id={} lane=lookup count=4 fail=0 over=200.0", self.id);
+        self.peer.send(&line).await;
+    }
+}
--- /dev/null
+++ b/crates/standins/src/program.rs
@@ -0,0 +1,196 @@
+//! The program itself: started with a configuration, spoken to by signals, and asked what it logged.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use serde_json::{json, Value};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+
+use crate::discovery::Discovery;
+use crate::peer::Peer;
+use crate::wait::{soon, until};
+
+/// The program's file, and where its configurations are written.
+#[derive(Clone, Debug)]
+pub struct Program {
+    path: PathBuf,
+    scratch: PathBuf,
+    operator: Option<PathBuf>,
+}
+
+/// The program as started, and what it has logged.
+pub struct Supervisor {
+    child: Child,
+    /// Where it listens.
+    pub address: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+    path: String,
+}
+
+static CONFIGS: AtomicUsize = AtomicUsize::new(0);
+
+/// A configuration: `known` as the list last had, and so many descriptors.
+pub fn config(discovery: &Discovery, known: Option<Value>, sockets: usize) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known,
+        "settings": {
+            "peersTotal": 1, "locality": 0, "zones": ["a", "b"], "kinds": ["m"], "tickMs": 2.0,
+            "discovery": "automatic", "weights": "nominal",
+            "classes": [
+                {"name": "lookup", "aimMs": 600.0, "hardLimitMs": 2000.0, "worth": 1.0, "effect": "read_like"},
+                {"name": "order", "aimMs": 600.0, "hardLimitMs": 2000.0, "worth": 2.0, "effect": "non_idempotent"}],
+            "report": {"source": "piggyback", "fields": ["queue", "latency_ms"]},
+            "limits": {"probes": true, "connectTimeoutMs": 250.0, "idleCloseMs": 15000.0},
+            "guarantees": {"drainGraceMs": 2000.0, "coldMs": 8000.0, "coldFrom": 0.3, "fallMultiple": 3.0,
+                           "overloadForMs": 3000.0},
+            "familyInfo": {"proxies": 8, "levelKind": "fraction", "backlog": 9000.0, "linesPerS": 6000.0,
+                           "fixedCost": 3.0, "cycleMs": 200.0, "pushDelayMaxMs": 500.0, "unservedMaxMs": 5000.0},
+        },
+    })
+}
+
+impl Program {
+    /// The program in a file; what it is told goes into a directory.
+    pub fn new(path: impl AsRef<Path>, scratch: impl AsRef<Path>) -> Self {
+        let (path, scratch) = (path.as_ref().to_path_buf(), scratch.as_ref().to_path_buf());
+        Program { path, scratch, operator: None }
+    }
+
+    /// The same with an operators' file.
+    #[must_use]
+    pub fn with_operator(&self, file: impl AsRef<Path>) -> Self {
+        Program { operator: Some(file.as_ref().to_path_buf()), ..self.clone() }
+    }
+
+    fn command(&self, config: &Value) -> (Command, String) {
+        let mut command = Command::new(&self.path);
+        command.arg("serve");
+        self.prepared(config, command)
+    }
+
+    /// The command with its environment, and where its configuration is.
+    fn prepared(&self, config: &Value, mut command: Command) -> (Command, String) {
+        let number = CONFIGS.fetch_add(1, Ordering::SeqCst);
+        let path = format!("{}/supervisor-{}-{number}.json", self.scratch.display(), std::process::id());
+        std::fs::write(&path, config.to_string()).expect("a configuration file");
+        for variable in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "CHUTEGRADE_OPERATOR"] {
+            command.env_remove(variable);
+        }
+        if let Some(operator) = &self.operator {
+            command.env("CHUTEGRADE_OPERATOR", operator);
+        }
+        command.env("LB_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        command.kill_on_drop(true);
+        (command, path)
+    }
+
+    /// Starts it with a configuration that it can't run with; its exit code and what it said.
+    pub async fn fails_to_start(&self, config: &Value) -> (Option<i32>, String) {
+        let output =
+            soon("the end of the program", self.command(config).0.output()).await.expect("the program");
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    }
+
+    /// Runs one of its other commands; its exit code, and what it wrote to either side.
+    pub async fn tool(&self, arguments: &[&str]) -> (Option<i32>, String, String) {
+        let mut command = Command::new(&self.path);
+        command.args(arguments).stdin(Stdio::null()).kill_on_drop(true);
+        command.env_remove("LB_CONFIG").env_remove("CHUTEGRADE_OPERATOR");
+        let output = soon("the end of the tool", command.output()).await.expect("the program");
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (output.status.code(), text(&output.stdout), text(&output.stderr))
+    }
+
+    /// Starts the program and waits until it serves.
+    pub async fn start(&self, config: &Value) -> Supervisor {
+        Supervisor::started(self.command(config)).await
+    }
+
+    /// Starts the program where the system gives it no more than so many descriptors.
+    pub async fn start_within(&self, config: &Value, descriptors: usize) -> Supervisor {
+        let mut shell = Command::new("/bin/sh");
+        shell.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\"")]).arg(&self.path);
+        Supervisor::started(self.prepared(config, shell)).await
+    }
+
+    /// Starts the program with the address of discovery in its environment too, as the operators do.
+    pub async fn start_with_env(&self, config: &Value) -> Supervisor {
+        let (mut command, path) = self.command(config);
+        command.env("LB_DISCOVERY", config["discovery"].as_str().expect("an address"));
+        Supervisor::started((command, path)).await
+    }
+}
+
+impl Supervisor {
+    async fn started((mut command, path): (Command, String)) -> Self {
+        let mut child = command.spawn().expect("the program");
+        let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = log.clone();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                kept.lock().expect("no panic while held").push(line);
+            }
+        });
+        let listens = |log: &Mutex<Vec<String>>| {
+            let log = log.lock().expect("no panic while held");
+            let line = log.iter().find(|line| line.contains(" started "))?;
+            line.split("listen=").nth(1)?.split(' ').next()?.parse::<SocketAddr>().ok()
+        };
+        until("the start", || listens(&log).is_some()).await;
+        let address = listens(&log).expect("checked above");
+        Supervisor { child, address, log, path }
+    }
+
+    /// Lines that hold all of these words.
+    pub fn logged(&self, words: &[&str]) -> usize {
+        let log = self.log.lock().expect("no panic while held");
+        log.iter().filter(|line| words.iter().all(|word| line.contains(word))).count()
+    }
+
+    /// Waits for so many such lines.
+    pub async fn logs(&self, times: usize, words: &[&str]) {
+        until(&format!("{times} log lines with {words:?}"), || self.logged(words) >= times).await;
+        assert_eq!(self.logged(words), times, "log lines with {words:?}");
+    }
+
+    async fn signal(&self, name: &str) {
+        let id = self.child.id().expect("it runs").to_string();
+        let sent = Command::new("kill").args([name, &id]).status().await.expect("kill");
+        assert!(sent.success());
+    }
+
+    /// Replaces its configuration file and sends SIGHUP.
+    pub async fn reload(&self, config: &str) {
+        std::fs::write(&self.path, config).expect("a configuration file");
+        self.signal("-HUP").await;
+    }
+
+    /// Sends SIGTERM; its exit code.
+    pub async fn terminate(&mut self) -> Option<i32> {
+        self.signal("-TERM").await;
+        soon("the end after SIGTERM", self.child.wait()).await.expect("its status").code()
+    }
+
+    /// Kills it outright.
+    pub async fn kill(mut self) {
+        self.child.kill().await.expect("its end");
+    }
+
+    /// Whether it has not ended.
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("its status").is_none()
+    }
+
+    /// Asks `probe` on a connection of its own.
+    pub async fn alive(&self) -> bool {
+        let mut peer = Peer::connect(self.address).await;
+        peer.send("probe").await;
+        soon("the answer to probe", peer.line()).await.as_deref() == Some("alive")
+    }
+}
--- /dev/null
+++ b/crates/standins/src/truth.rs
@@ -0,0 +1,253 @@
+//! Ground truth: what was really done to a fleet, and when, written by whoever did it. And what of it records must show.
+
+use std::io::Write;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use chutegrade_records::{pb, Event, Gap, GapReason, Kind};
+use serde::Serialize;
+
+/// What was done.
+#[allow(missing_docs)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "what")]
+pub enum Deed {
+    /// The list says that a server drains.
+    Drains { server: String },
+    /// The list drops a server.
+    Removed { server: String },
+    /// A server started anew and is listed again.
+    Started { server: String },
+    /// A server fails all requests and probes, or none any more.
+    Fails { server: String, on: bool },
+    /// A zone is cut off from the others, or not any more.
+    Cut { zone: String, on: bool },
+    /// So much more is asked than usually.
+    Demand { factor: f64 },
+    /// A front end's stream was broken.
+    Broken { proxy: u32 },
+    /// Reports of a zone's collector come so much later, in milliseconds.
+    Late { zone: String, ms: u64 },
+    /// Discovery says nothing, or speaks again.
+    Mute { on: bool },
+    /// A supervisor was killed outright.
+    Killed { supervisor: String },
+    /// A supervisor was started.
+    Begun { supervisor: String },
+    /// A supervisor was asked to end.
+    Ended { supervisor: String },
+}
+
+/// A deed and when it was done.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Truth {
+    /// Unix microseconds.
+    pub at_us: i64,
+    /// What was done.
+    #[serde(flatten)]
+    pub deed: Deed,
+}
+
+/// Unix time now, in microseconds.
+pub fn now_us() -> i64 {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    i64::try_from(unix.as_micros()).unwrap_or(i64::MAX)
+}
+
+/// The deeds of one run, in order.
+#[derive(Clone, Debug, Default)]
+pub struct Diary(Arc<Mutex<Vec<Truth>>>);
+
+impl Diary {
+    /// Writes down what is being done now.
+    pub fn note(&self, deed: Deed) {
+        self.0.lock().expect("no panic while held").push(Truth { at_us: now_us(), deed });
+    }
+
+    /// All that was written down.
+    pub fn deeds(&self) -> Vec<Truth> {
+        self.0.lock().expect("no panic while held").clone()
+    }
+
+    /// Writes it to a file, a JSON object a line.
+    pub fn save(&self, path: &Path) -> std::io::Result<()> {
+        let mut file = std::fs::File::create(path)?;
+        for truth in self.deeds() {
+            writeln!(file, "{}", serde_json::to_string(&truth)?)?;
+        }
+        Ok(())
+    }
+}
+
+/// How late an event may be against the deed that it follows, in microseconds: the list's own lateness, ticks, a loaded
+/// machine; reports may be later by what makes them late.
+const LATE_MOST_US: i64 = 6_000_000;
+/// How much earlier than its deed: both clocks are this machine's, and the deed is written down first.
+const EARLY_MOST_US: i64 = 50_000;
+
+/// Compares what was recorded with what was done, for these supervisors. Every sentence is a fault: a deed without its
+/// event, an event without a deed, or a silence that is not marked.
+pub fn compare(truth: &[Truth], events: &[Event], gaps: &[Gap], supervisors: &[&str]) -> Vec<String> {
+    let mut faults = missing(truth, events, gaps, supervisors);
+    faults.extend(invented(truth, events));
+    faults.extend(unmarked(truth, gaps));
+    faults.extend(disordered(events));
+    faults
+}
+
+/// Times at which a supervisor did not run.
+fn away(truth: &[Truth], supervisor: &str) -> Vec<(i64, i64)> {
+    let mut away = Vec::new();
+    let mut since = Some(i64::MIN);
+    for one in truth {
+        match &one.deed {
+            Deed::Begun { supervisor: its } if its == supervisor => {
+                away.extend(since.take().map(|since| (since, one.at_us)));
+            }
+            Deed::Killed { supervisor: its } | Deed::Ended { supervisor: its } if its == supervisor => {
+                since = Some(one.at_us);
+            }
+            _ => {}
+        }
+    }
+    away.extend(since.map(|since| (since, i64::MAX)));
+    away
+}
+
+fn follows(event: &Event, at_us: i64) -> bool {
+    (at_us - EARLY_MOST_US..=at_us + LATE_MOST_US).contains(&event.at_us)
+}
+
+/// Whether an event shows a deed.
+fn shows(event: &Event, deed: &Deed) -> bool {
+    let Some(kind) = &event.record.kind else { return false };
+    match (deed, kind) {
+        (Deed::Drains { server }, Kind::LifeChanged(of)) => {
+            of.server == *server && of.life() == pb::Life::Draining
+        }
+        (Deed::Removed { server }, Kind::LifeChanged(of)) => {
+            of.server == *server && of.life() == pb::Life::Gone
+        }
+        (Deed::Started { server }, Kind::ServerStarted(of)) => of.server == *server,
+        (Deed::Fails { server, on: true }, Kind::Failing(of)) => of.server == *server && of.failing,
+        (Deed::Fails { server, on: true }, Kind::StateChanged(of)) => {
+            of.server == *server && of.state() == pb::State::Withdrawn
+        }
+        (Deed::Cut { zone, on }, Kind::ZoneCut(of)) => of.zone == *zone && of.cut == *on,
+        (Deed::Demand { factor }, Kind::Saturation(of)) => *factor > 1.0 && of.refused > 0.0,
+        (Deed::Broken { proxy }, Kind::StreamLeft(of)) => of.proxy == *proxy,
+        (Deed::Mute { on }, Kind::Discovery(of)) => of.tells != *on,
+        (Deed::Begun { .. }, Kind::Started(_)) | (Deed::Ended { .. }, Kind::Stopped(_)) => true,
+        _ => false,
+    }
+}
+
+/// Whether every supervisor that runs learns of a deed, or only the one concerned.
+fn concerns(deed: &Deed, supervisor: &str) -> bool {
+    match deed {
+        Deed::Begun { supervisor: its }
+        | Deed::Ended { supervisor: its }
+        | Deed::Killed { supervisor: its } => its == supervisor,
+        _ => true,
+    }
+}
+
+fn missing(truth: &[Truth], events: &[Event], gaps: &[Gap], supervisors: &[&str]) -> Vec<String> {
+    let mut faults = Vec::new();
+    for one in truth {
+        // What is only the end of something, or has no event of its own, is not looked for.
+        let silent = matches!(
+            one.deed,
+            Deed::Killed { .. } | Deed::Late { .. } | Deed::Fails { on: false, .. } | Deed::Demand { .. }
+        );
+        if silent {
+            continue;
+        }
+        let found = |by: &str| {
+            events.iter().any(|e| &*e.supervisor == by && follows(e, one.at_us) && shows(e, &one.deed))
+        };
+        for supervisor in supervisors.iter().filter(|supervisor| concerns(&one.deed, supervisor)) {
+            let (from, to) = (one.at_us - EARLY_MOST_US, one.at_us + LATE_MOST_US);
+            let absent = away(truth, supervisor).iter().any(|(since, until)| *since <= to && *until >= from);
+            let own = matches!(one.deed, Deed::Begun { .. } | Deed::Ended { .. });
+            // A front end's stream ends at the one supervisor that it had joined.
+            let elsewhere = matches!(one.deed, Deed::Broken { .. }) && supervisors.iter().any(|by| found(by));
+            let hidden = gaps.iter().any(|gap| {
+                *gap.supervisor == **supervisor
+                    && gap.reason == GapReason::Lost
+                    && gap.from_us <= to
+                    && gap.to_us >= from
+            });
+            if !found(supervisor) && !elsewhere && !hidden && (own || !absent) {
+                faults.push(format!("{supervisor} shows nothing of {:?} at {}", one.deed, one.at_us));
+            }
+        }
+    }
+    // An overload need not reach every supervisor's threshold; one must have told of it.
+    let heavy = truth.iter().filter(|one| matches!(one.deed, Deed::Demand { factor } if factor > 1.0));
+    for one in heavy {
+        if !events.iter().any(|event| follows(event, one.at_us) && shows(event, &one.deed)) {
+            faults.push(format!("nobody shows {:?}", one.deed));
+        }
+    }
+    faults
+}
+
+/// Events of kinds that only a deed can bring about, without one.
+fn invented(truth: &[Truth], events: &[Event]) -> Vec<String> {
+    let mut faults = Vec::new();
+    for event in events {
+        let Some(kind) = &event.record.kind else { continue };
+        let told = truth.iter().any(|one| follows(event, one.at_us) && shows(event, &one.deed));
+        let needs = match kind {
+            Kind::LifeChanged(of) => of.life() != pb::Life::InService,
+            Kind::ServerStarted(_)
+            | Kind::Discovery(_)
+            | Kind::ZoneCut(_)
+            | Kind::Started(_)
+            | Kind::Stopped(_) => true,
+            _ => false,
+        };
+        // A supervisor that begins learns again what the list holds.
+        let again = matches!(kind, Kind::LifeChanged(_) | Kind::ServerStarted(_))
+            && truth.iter().any(|one| {
+                matches!(one.deed, Deed::Begun { .. }) && event.learned_us() - one.at_us < LATE_MOST_US
+            });
+        if needs && !told && !again {
+            faults.push(format!("{} tells without cause: {}", event.supervisor, event.line()));
+        }
+    }
+    faults
+}
+
+/// Times at which a supervisor did not run and that no gap marks.
+fn unmarked(truth: &[Truth], gaps: &[Gap]) -> Vec<String> {
+    let mut faults = Vec::new();
+    for (at, one) in truth.iter().enumerate() {
+        let Deed::Killed { supervisor } = &one.deed else { continue };
+        let again =
+            |next: &&Truth| matches!(&next.deed, Deed::Begun { supervisor: its } if its == supervisor);
+        let Some(next) = truth.iter().skip(at).find(again) else { continue };
+        let marked = gaps.iter().any(|gap| {
+            *gap.supervisor == **supervisor
+                && gap.reason == GapReason::Crashed
+                && gap.from_us <= one.at_us
+                && gap.to_us >= next.at_us
+        });
+        if !marked {
+            faults.push(format!(
+                "the death of {supervisor} from {} to {} is not marked",
+                one.at_us, next.at_us
+            ));
+        }
+    }
+    faults
+}
+
+fn disordered(events: &[Event]) -> Vec<String> {
+    let pairs = events.windows(2).filter(|pair| pair.first().map(|e| e.at_us) > pair.last().map(|e| e.at_us));
+    pairs
+        .map(|pair| format!("out of order: {:?}", pair.iter().map(Event::line).collect::<Vec<_>>()))
+        .collect()
+}
--- a/crates/supervisor/src/cli.rs
+++ b/crates/supervisor/src/cli.rs
@@ -27,6 +27,41 @@
     Check(Check),
     /// Look at what supervisors recorded.
     Records(Records),
+    /// Show the fleet on the terminal, from records: now, or at any moment of the past.
+    Console(Console),
+    /// Write one HTML page that tells the course of an incident.
+    Report(Report),
+}
+
+/// What to show.
+#[derive(Args, Debug)]
+pub struct Console {
+    /// Directories of records: of one supervisor, or of several below.
+    #[arg(required = true, value_name = "DIR")]
+    pub directories: Vec<PathBuf>,
+    /// Begin at this moment, written as for `records list`; without it, live.
+    #[arg(long, value_name = "TIME")]
+    pub at: Option<String>,
+    /// Print one frame as text and end.
+    #[arg(long)]
+    pub once: bool,
+}
+
+/// Of what to tell.
+#[derive(Args, Debug)]
+pub struct Report {
+    /// Directories of records: of one supervisor, or of several below.
+    #[arg(required = true, value_name = "DIR")]
+    pub directories: Vec<PathBuf>,
+    /// Begin, written as for `records list`; without it, the first record.
+    #[arg(long, value_name = "TIME")]
+    pub from: Option<String>,
+    /// End; without it, the last record.
+    #[arg(long, value_name = "TIME")]
+    pub to: Option<String>,
+    /// The file to write; it is replaced.
+    #[arg(long, value_name = "FILE")]
+    pub out: PathBuf,
 }
 
 /// How to serve.
--- a/crates/supervisor/src/main.rs
+++ b/crates/supervisor/src/main.rs
@@ -61,6 +61,8 @@
         Command::Serve(_) => Ok(()),
         Command::Check(check) => tools::check(&check, &mut std::io::stdout().lock()),
         Command::Records(records) => tools::records(&records, &mut std::io::stdout().lock()),
+        Command::Console(console) => tools::console(&console),
+        Command::Report(report) => tools::report(&report, &mut std::io::stdout().lock()),
     };
     match done {
         Ok(()) | Err(Fault::Gone) => ExitCode::SUCCESS,
--- a/crates/supervisor/src/tools.rs
+++ b/crates/supervisor/src/tools.rs
@@ -1,14 +1,14 @@
-//! `check` and `records`: what can be said of files without serving.
+//! What can be done without serving: `check`, `records`, `console` and `report`.
 
-use std::io::Write;
-use std::path::PathBuf;
+use std::io::{BufWriter, Write};
+use std::path::{Path, PathBuf};
 
 use chutegrade_records::index::Query;
 use chutegrade_records::timeline::{is_event, verify, Event, Gap, Timeline};
-use chutegrade_records::{kind, text};
+use chutegrade_records::{kind, text, Window};
 use serde_json::{json, Value};
 
-use crate::cli::{Check, Form, List, Records, RecordsCommand};
+use crate::cli::{Check, Console, Form, List, Records, RecordsCommand, Report};
 use crate::{config, Fault};
 
 /// `check`: every fault on a line of its own; an error if there is one.
@@ -41,8 +41,8 @@
 pub fn records(records: &Records, out: &mut impl Write) -> Result<(), Fault> {
     match &records.command {
         RecordsCommand::Verify { directories } => verify_all(directories, out),
-        RecordsCommand::List(list) => export(list, Form::Text, out),
-        RecordsCommand::Export { list, format } => export(list, *format, out),
+        RecordsCommand::List(list) => export(list, Form::Text, &mut BufWriter::new(out)),
+        RecordsCommand::Export { list, format } => export(list, *format, &mut BufWriter::new(out)),
     }
 }
 
@@ -84,6 +84,51 @@
     }
 }
 
+/// `console`.
+pub fn console(console: &Console) -> Result<(), Fault> {
+    let at = match &console.at {
+        None => None,
+        Some(text) => {
+            let span = Timeline::open(&console.directories).map_err(said)?.span();
+            Some(text::parse_time(text, span.map_or(0, |span| span.to_us)).map_err(said)?)
+        }
+    };
+    let shown = if console.once {
+        chutegrade_console::once(&console.directories, at, &mut std::io::stdout().lock())
+    } else {
+        chutegrade_console::run(&console.directories, at)
+    };
+    shown.map_err(|fault| match fault {
+        chutegrade_console::Fault::Terminal(io) if io.kind() == std::io::ErrorKind::BrokenPipe => Fault::Gone,
+        fault => said(fault),
+    })
+}
+
+/// `report`: the page appears whole or not at all.
+pub fn report(report: &Report, out: &mut impl Write) -> Result<(), Fault> {
+    let timeline = Timeline::open(&report.directories).map_err(said)?;
+    let span = timeline.span().ok_or_else(|| Fault::Said("no records in these directories".to_string()))?;
+    let time = |given: &Option<String>, usual: i64| match given {
+        Some(text) => text::parse_time(text, span.to_us).map_err(said),
+        None => Ok(usual),
+    };
+    let (from_us, to_us) = (time(&report.from, span.from_us)?, time(&report.to, span.to_us)?);
+    if from_us > to_us {
+        let (from, to) = (text::time(from_us), text::time(to_us));
+        return Err(Fault::Said(format!("nothing lies between {from} and {to}: --from is after --to")));
+    }
+    let page = chutegrade_report::report(&timeline, Window { from_us, to_us }, Default::default());
+    let draft = report.out.with_extension("draft");
+    let written = std::fs::write(&draft, page).and_then(|()| std::fs::rename(&draft, &report.out));
+    written.map_err(|fault| Fault::Said(format!("{} cannot be written: {fault}", report.out.display())))?;
+    let from_to = (text::time(from_us), text::time(to_us));
+    writeln!(out, "{}: {} to {}", shown_path(&report.out), from_to.0, from_to.1).map_err(Fault::from)
+}
+
+fn shown_path(path: &Path) -> String {
+    printable(&path.display().to_string())
+}
+
 /// The query that the options ask for; times of day count from the last record.
 pub fn query(list: &List, timeline: &Timeline) -> Result<Query, Fault> {
     let last = timeline.span().map_or(0, |span| span.to_us);
--- a/crates/supervisor/tests/serving.rs
+++ b/crates/supervisor/tests/serving.rs
@@ -1,11 +1,14 @@
 //! The program over sockets: it is started, spoken to as by its peers, and asked what it logged.
 
-mod support;
-
 use std::sync::atomic::Ordering;
 
+use chutegrade_standins::{config, until, Discovery, Manner, Peer, Program, Proxy, Server, Supervisor};
 use serde_json::json;
-use support::{config, fails_to_start, until, Discovery, Manner, Peer, Proxy, Server, Supervisor};
+
+/// The program as built for tests.
+fn program() -> Program {
+    Program::new(env!("CARGO_BIN_EXE_chutegrade"), env!("CARGO_TARGET_TMPDIR"))
+}
 
 /// Discovery and three servers that it lists.
 async fn fleet() -> (Discovery, Vec<Server>) {
@@ -22,7 +25,7 @@
 /// A supervisor that serves such a fleet from the list it last had.
 async fn serving() -> (Discovery, Vec<Server>, Supervisor) {
     let (discovery, servers) = fleet().await;
-    let supervisor = Supervisor::start(&config(&discovery, Some(discovery.list()), 1024)).await;
+    let supervisor = program().start(&config(&discovery, Some(discovery.list()), 1024)).await;
     (discovery, servers, supervisor)
 }
 
@@ -40,7 +43,7 @@
 #[tokio::test]
 async fn a_proxy_is_served_from_join_to_order_to_ack() {
     let (discovery, servers) = fleet().await;
-    let mut supervisor = Supervisor::start(&config(&discovery, None, 1024)).await;
+    let mut supervisor = program().start(&config(&discovery, None, 1024)).await;
     assert!(supervisor.alive().await);
     let mut proxy = joined(&supervisor, 3).await;
     assert_eq!(proxy.retries.get("order").map(String::as_str), Some("1"), "once, after proof");
@@ -122,7 +125,7 @@
     let (discovery, servers) = fleet().await;
     let mut asking = config(&discovery, None, 1024);
     asking["settings"]["discovery"] = json!("subscribe");
-    let supervisor = Supervisor::start(&asking).await;
+    let supervisor = program().start(&asking).await;
     let mut proxy = joined(&supervisor, 0).await;
     until("a watch", || discovery.opened() == 1).await;
     discovery.hang_up();
@@ -136,7 +139,7 @@
 async fn a_new_configuration_moves_it_to_another_agent() {
     let (discovery, servers) = fleet().await;
     let mut told = config(&discovery, Some(discovery.list()), 1024);
-    let mut supervisor = Supervisor::start_with_env(&told).await;
+    let mut supervisor = program().start_with_env(&told).await;
     let mut proxy = joined(&supervisor, 0).await;
     until("a watch", || discovery.opened() == 1).await;
 
@@ -176,7 +179,7 @@
     let (discovery, servers) = fleet().await;
     let behind = discovery.second().await;
     let mut told = config(&discovery, Some(discovery.list()), 1024);
-    let supervisor = Supervisor::start(&told).await;
+    let supervisor = program().start(&told).await;
     let mut proxy = joined(&supervisor, 0).await;
     discovery.set("s-2", servers[1].address, "draining");
     proxy.applies("the drain", |proxy| proxy.picks("lookup") == ["s-1", "s-3"]).await;
@@ -200,12 +203,12 @@
 async fn a_restart_serves_from_the_known_list_while_discovery_is_down() {
     let (discovery, _servers) = fleet().await;
     let known = discovery.list();
-    let first = Supervisor::start(&config(&discovery, Some(known.clone()), 1024)).await;
+    let first = program().start(&config(&discovery, Some(known.clone()), 1024)).await;
     let mut proxy = joined(&first, 0).await;
     discovery.mute(true);
     first.kill().await;
     proxy.peer.ended().await;
-    let again = Supervisor::start(&config(&discovery, Some(known), 1024)).await;
+    let again = program().start(&config(&discovery, Some(known), 1024)).await;
     assert!(again.alive().await);
     let before = proxy.messages;
     proxy.join_again(&again).await;
@@ -243,7 +246,7 @@
 async fn strangers_never_take_the_places_of_peers() {
     let (discovery, _servers) = fleet().await;
     // Of 48 descriptors, 16 are its own, 8 the proxies', 8 the collectors'; half of the rest is for strangers.
-    let supervisor = Supervisor::start(&config(&discovery, Some(discovery.list()), 48)).await;
+    let supervisor = program().start(&config(&discovery, Some(discovery.list()), 48)).await;
     let mut strangers = Vec::new();
     for _ in 0..40 {
         strangers.push(Peer::connect(supervisor.address).await);
@@ -261,7 +264,7 @@
 async fn it_goes_on_after_it_ran_out_of_descriptors() {
     let (discovery, _servers) = fleet().await;
     let told_wrong = config(&discovery, Some(discovery.list()), 1024);
-    let mut supervisor = Supervisor::start_within(&told_wrong, 24).await;
+    let mut supervisor = program().start_within(&told_wrong, 24).await;
     let mut strangers = Vec::new();
     for _ in 0..40 {
         strangers.push(Peer::connect(supervisor.address).await);
@@ -463,7 +466,7 @@
     let nobody = Server::start("s-5", Manner::Well).await.address;
     let closed = std::net::SocketAddr::new(nobody.ip(), 1);
     discovery.set("s-5", closed, "up");
-    let mut supervisor = Supervisor::start(&config(&discovery, Some(discovery.list()), 1024)).await;
+    let mut supervisor = program().start(&config(&discovery, Some(discovery.list()), 1024)).await;
     let mut proxy = Proxy::join(&supervisor, 0, true).await;
     proxy.applies("some table", |proxy| !proxy.picks("lookup").is_empty()).await;
     until("further probes of each", || servers.iter().all(|server| server.probed() >= 3)).await;
@@ -494,7 +497,7 @@
     let mut no_address = whole.clone();
     no_address["listen"] = json!("somewhere");
     for spoilt in [no_settings, no_address, json!("nothing")] {
-        let (code, said) = fails_to_start(&spoilt).await;
+        let (code, said) = program().fails_to_start(&spoilt).await;
         assert_eq!(code, Some(1));
         assert_eq!(said.lines().count(), 1, "{said}");
         assert!(said.contains("cannot run"), "{said}");
