--- a/crates/records/src/recorder.rs
+++ b/crates/records/src/recorder.rs
@@ -155,6 +155,8 @@
     committed: Instant,
     /// It was said that nothing can be written; not said again until something was.
     failing: bool,
+    /// The program ends: this is the last round.
+    closing: bool,
     missing: Missing,
     frames: Vec<u8>,
     content: Vec<u8>,
@@ -171,6 +173,7 @@
             tried: None,
             committed: Instant::now(),
             failing: false,
+            closing: false,
             missing: Missing::default(),
             frames: Vec::new(),
             content: Vec::new(),
@@ -181,12 +184,15 @@
         loop {
             // Asked before the queue is looked at: what was noted before the stop is written.
             let last = stop.load(Ordering::Acquire);
+            self.closing = last;
             self.open(now_us());
             while self.batch(queue, now_us()) {}
             if last || self.committed.elapsed() >= COMMIT_EVERY {
                 self.committed = Instant::now();
-                let committed = self.store.as_mut().map_or(Ok(()), Store::commit);
-                self.outcome(committed);
+                // A commit of nothing is no sign that the disk takes something again.
+                if let Some(fault) = self.store.as_mut().and_then(|store| store.commit().err()) {
+                    self.outcome(Err(fault));
+                }
             }
             if last {
                 return;
@@ -195,9 +201,14 @@
         }
     }
 
+    /// Whether a disk that took nothing is left alone for now; the last try of all is made in any case.
+    fn waits(&self) -> bool {
+        !self.closing && self.tried.is_some_and(|tried| tried.elapsed() < AGAIN_EVERY)
+    }
+
     /// Opens the directory, at once and then now and then; tells what the start before has left.
     fn open(&mut self, now_us: i64) {
-        if self.store.is_some() || self.tried.is_some_and(|tried| tried.elapsed() < AGAIN_EVERY) {
+        if self.store.is_some() || self.waits() {
             return;
         }
         self.tried = Some(Instant::now());
@@ -206,7 +217,7 @@
         match opened {
             Ok((store, found)) => {
                 let start = store.incarnation();
-                self.store = Some(store);
+                (self.store, self.failing) = (Some(store), false);
                 if let Some(found) = found {
                     tell(&found);
                     self.write(
@@ -242,9 +253,7 @@
     fn write(&mut self, items: Vec<Item>, now_us: i64) {
         let failed =
             |missing: &mut Missing, items: &[Item]| items.iter().for_each(|item| missing.add(item.at_us));
-        if self.store.is_none()
-            || (self.failing && self.tried.is_some_and(|tried| tried.elapsed() < AGAIN_EVERY))
-        {
+        if self.store.is_none() || (self.failing && self.waits()) {
             failed(&mut self.missing, &items);
             return;
         }
--- a/crates/report/src/chart.rs
+++ b/crates/report/src/chart.rs
@@ -157,7 +157,7 @@
             text.title x=(r(LABELS)) y="11" { (title) }
             @for share in [0.0, 0.5, 1.0] {
                 line.grid x1=(r(LABELS)) x2=(r(WIDTH)) y1=(r(y(share * most))) y2=(r(y(share * most))) {}
-                text.label x=(r(LABELS - 6.0)) y=(r(y(share * most) + 4.0)) { (text::figure(share * most)) }
+                text.label x=(r(LABELS - 6.0)) y=(r(y(share * most) + 4.0 - 5.0 * (1.0 - share))) { (text::figure(share * most)) }
             }
             @for (at, line) in lines.iter().enumerate() {
                 @for run in &line.runs {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -71,6 +71,22 @@
     ran: Mutex<BTreeMap<u64, u32>>,
 }
 
+/// A request that waits for a core, until it is dropped: also one that its client gives up.
+struct Waits<'a>(&'a AtomicUsize);
+
+impl<'a> Waits<'a> {
+    fn begin(waiting: &'a AtomicUsize) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Waits(waiting)
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// What is common to the whole fleet.
 pub struct Ways {
     cut: Mutex<Vec<String>>,
@@ -117,9 +133,9 @@
 
     /// Waits for a core and uses it for so long.
     async fn busy(&self, length: Duration) {
-        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let waits = Waits::begin(&self.waiting);
         let core = self.cores.acquire().await;
-        self.waiting.fetch_sub(1, Ordering::Relaxed);
+        drop(waits);
         sleep(length).await;
         drop(core);
     }
