A hook language of our own: compiler, verifier, machine with fuel, host that composes advice

Change: crates/plugins, without I/O: texts by logos and chumsky with all faults told at once, names and types checked, to bytecode that a verifier checks without trusting the compiler; a machine with fuel by call and turn, bounded text and maps, chance seeded by text and turn; a host that undoes a faulty turn, pauses repeated faults for growing times, and composes several plug-ins in their order.

Not loaded by anything yet.

--- /dev/null
+++ b/crates/plugins/src/host.rs
@@ -0,0 +1,320 @@
+//! The host: runs all plug-ins over a turn and composes what they advise, in their order. What it gives is advice; what
+//! becomes of it the decision module says. One that faults gives nothing for that turn; one that faults again and again
+//! is left alone for pauses that grow.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::code::{Program, Value};
+use crate::compile::compile;
+use crate::diagnostics::Diagnostic;
+use crate::inputs::Inputs;
+use crate::machine::{Context, Machine, Memory, Stopped};
+
+/// Plug-ins that may be loaded at once.
+pub const PLUGINS_MOST: usize = 32;
+/// Operations of one call of `factor`, `cap`, `retry` or `exclude`, and of `turn`.
+const FUEL: (u64, u64) = (2_000, 50_000);
+/// Operations of all calls of a plug-in in a turn: so many for each answer that it is asked for, and some beside.
+const FUEL_TURN: (u64, u64) = (80, 60_000);
+/// Faulty turns in a row from which a plug-in is left alone.
+const FAULTS_MOST: u32 = 3;
+/// Turns for which it is left alone first, and at most; each time twice as long.
+const PAUSE: (u64, u64) = (10, 640);
+/// Sound turns after which earlier faults are forgotten.
+const FORGIVEN_AFTER: u32 = 600;
+/// Longest exclusion that one answer gives, in seconds: it is asked again each turn.
+const EXCLUDED_MOST: f64 = 3600.0;
+
+/// What the plug-ins advise together, by places in the inputs. What is not named is left as it is.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Advice {
+    /// Share of its weight that a server keeps: for the front ends of a zone, and for one class where it is steered apart.
+    pub factors: BTreeMap<(u32, u32, Option<u32>), f64>,
+    /// The most of a class that is let in.
+    pub caps: BTreeMap<u32, f64>,
+    /// Classes that are not to be tried again.
+    pub never: Vec<u32>,
+    /// Servers left out, with the reason and for how many seconds.
+    pub excluded: BTreeMap<u32, (String, f64)>,
+    /// Classes that are steered apart from the others.
+    pub steered: Vec<u32>,
+}
+
+/// What came of one plug-in in a turn.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    /// It noted something.
+    Noted(String),
+    /// It faulted; its advice of this turn is dropped.
+    Faulted(Stopped),
+    /// It is left alone for so many turns.
+    Paused(u64),
+    /// Its advice differs from an earlier one's on the same thing; which of them holds.
+    Differs(String),
+}
+
+/// What a turn gives.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Turn {
+    /// The advice of all.
+    pub advice: Advice,
+    /// What is worth a record, by the plug-in's name.
+    pub words: Vec<(Arc<str>, Word)>,
+}
+
+#[derive(Debug)]
+struct Loaded {
+    name: Arc<str>,
+    program: Program,
+    memory: Memory,
+    faults: u32,
+    sound: u32,
+    pause: u64,
+    until: u64,
+}
+
+/// All plug-ins, in their order.
+#[derive(Default)]
+pub struct Host {
+    loaded: Vec<Loaded>,
+    machine: Machine,
+    turn: u64,
+}
+
+/// A text that is not taken, with all that is wrong with it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Refused {
+    /// The name under which it was given.
+    pub name: String,
+    /// What is wrong.
+    pub faults: Vec<Diagnostic>,
+}
+
+impl Host {
+    /// Takes these texts in the place of those that are loaded, whole or not at all. What lives between calls goes on
+    /// under the same plug-in's name, where its shape is the same.
+    pub fn load(&mut self, texts: &[(String, String)]) -> Result<Vec<(String, u32, [u8; 32])>, Vec<Refused>> {
+        let (mut loaded, mut refused) = (Vec::<Loaded>::new(), Vec::new());
+        for (name, text) in texts {
+            match compile(text) {
+                Ok(program) if loaded.iter().any(|known| *known.name == *program.name) => {
+                    let twice = Diagnostic::new(
+                        text,
+                        0..0,
+                        format!("a plug-in named {:?} is loaded already", program.name),
+                    );
+                    refused.push(Refused { name: name.clone(), faults: vec![twice] });
+                }
+                Ok(program) => loaded.push(self.carried(program)),
+                Err(faults) => refused.push(Refused { name: name.clone(), faults }),
+            }
+        }
+        if texts.len() > PLUGINS_MOST {
+            let many = Diagnostic::new(
+                "",
+                0..0,
+                format!("{} plug-ins are too many: at most {PLUGINS_MOST}", texts.len()),
+            );
+            refused.push(Refused { name: "all".to_string(), faults: vec![many] });
+        }
+        if !refused.is_empty() {
+            return Err(refused);
+        }
+        self.loaded = loaded;
+        let told = |one: &Loaded| (one.name.to_string(), one.program.version, one.program.digest);
+        Ok(self.loaded.iter().map(told).collect())
+    }
+
+    fn carried(&self, program: Program) -> Loaded {
+        let older = self.loaded.iter().find(|known| *known.name == *program.name);
+        let memory = match older {
+            Some(older) => Memory::carried(&program, &older.program, &older.memory),
+            None => Memory::new(&program),
+        };
+        // A changed text begins with a clean record; the same one keeps its pauses.
+        let same = older.filter(|older| older.program.digest == program.digest);
+        let (faults, pause, until) =
+            same.map_or((0, PAUSE.0, 0), |older| (older.faults, older.pause, older.until));
+        Loaded { name: program.name.as_str().into(), program, memory, faults, sound: 0, pause, until }
+    }
+
+    /// How many are loaded.
+    pub fn len(&self) -> usize {
+        self.loaded.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.loaded.is_empty()
+    }
+
+    /// Asks all plug-ins once.
+    pub fn turn(&mut self, inputs: &Inputs) -> Turn {
+        self.turn += 1;
+        let mut turn = Turn::default();
+        for one in &mut self.loaded {
+            if one.until >= self.turn {
+                continue;
+            }
+            // What a faulty turn did to its memory is undone.
+            let before = one.memory.clone();
+            let asked = ask(one, &mut self.machine, inputs, self.turn);
+            match asked {
+                Ok((advice, notes)) => {
+                    one.sound = one.sound.saturating_add(1);
+                    if one.sound >= FORGIVEN_AFTER {
+                        (one.faults, one.pause) = (0, PAUSE.0);
+                    }
+                    turn.words
+                        .extend(notes.into_iter().map(|note| (Arc::clone(&one.name), Word::Noted(note))));
+                    compose(&mut turn, &one.name, advice, inputs);
+                }
+                Err(stopped) => {
+                    one.memory = before;
+                    one.sound = 0;
+                    one.faults += 1;
+                    turn.words.push((Arc::clone(&one.name), Word::Faulted(stopped)));
+                    if one.faults >= FAULTS_MOST {
+                        one.until = self.turn + one.pause;
+                        turn.words.push((Arc::clone(&one.name), Word::Paused(one.pause)));
+                        one.pause = (one.pause * 2).min(PAUSE.1);
+                        // After the pause a single fault is enough.
+                        one.faults = FAULTS_MOST - 1;
+                    }
+                }
+            }
+        }
+        turn
+    }
+}
+
+/// Asks one plug-in.
+fn ask(
+    one: &mut Loaded,
+    machine: &mut Machine,
+    inputs: &Inputs,
+    turn: u64,
+) -> Result<(Advice, Vec<String>), Stopped> {
+    let Loaded { program, memory, .. } = one;
+    memory.fade();
+    let steered: Vec<u32> = places(&program.steers, inputs);
+    let zones = if program.by_zone { inputs.zones.len() } else { 1 };
+    let groups: Vec<Option<u32>> = if program.steers.is_empty() {
+        vec![None]
+    } else {
+        steered.iter().map(|class| Some(*class)).collect()
+    };
+    let answers =
+        inputs.servers.len() * zones * groups.len().max(1) + inputs.servers.len() + 2 * inputs.classes.len();
+    let mut fuel = FUEL_TURN.0 * answers as u64 + FUEL_TURN.1;
+    let mut context = Context::new(program, inputs, memory, &mut fuel, turn);
+    let mut advice = Advice::default();
+    if let Some(hook) = program.hooks.turn {
+        machine.call(program, hook, &[], &mut context, FUEL.1)?;
+    }
+    let class_places = || 0..u32::try_from(inputs.classes.len()).unwrap_or(u32::MAX);
+    let server_places = || 0..u32::try_from(inputs.servers.len()).unwrap_or(u32::MAX);
+    if let Some(hook) = program.hooks.factor {
+        for group in &groups {
+            for zone in 0..zones {
+                let name = inputs.zones.get(zone).cloned().unwrap_or_else(|| "".into());
+                // A factor that looks at no class gets any: it cannot ask for it.
+                let class = Value::Class(group.unwrap_or(0));
+                for server in server_places() {
+                    let values = [Value::Server(server), class.clone(), Value::Text(Arc::clone(&name))];
+                    let value = machine.call(program, hook, &values, &mut context, FUEL.0)?;
+                    let Value::Number(factor) = value else { continue };
+                    if factor < 1.0 {
+                        let all = if program.by_zone { zone..zone + 1 } else { 0..inputs.zones.len() };
+                        for zone in all {
+                            let zone = u32::try_from(zone).unwrap_or(u32::MAX);
+                            advice.factors.insert((server, zone, *group), factor.max(0.0));
+                        }
+                    }
+                }
+            }
+        }
+        advice.steered = steered;
+    }
+    if let Some(hook) = program.hooks.cap {
+        for class in class_places() {
+            let value = machine.call(program, hook, &[Value::Class(class)], &mut context, FUEL.0)?;
+            if let Value::Number(cap) = value {
+                if cap < 1.0 {
+                    advice.caps.insert(class, cap.max(0.0));
+                }
+            }
+        }
+    }
+    if let Some(hook) = program.hooks.retry {
+        for class in class_places() {
+            let value = machine.call(program, hook, &[Value::Class(class)], &mut context, FUEL.0)?;
+            if value == Value::Bool(false) {
+                advice.never.push(class);
+            }
+        }
+    }
+    if let Some(hook) = program.hooks.exclude {
+        for server in server_places() {
+            context.effects.excluded = None;
+            machine.call(program, hook, &[Value::Server(server)], &mut context, FUEL.0)?;
+            if let Some((reason, seconds)) = context.effects.excluded.take() {
+                if seconds > 0.0 {
+                    advice.excluded.insert(server, (reason, seconds.min(EXCLUDED_MOST)));
+                }
+            }
+        }
+    }
+    Ok((advice, context.effects.notes))
+}
+
+fn places(names: &[String], inputs: &Inputs) -> Vec<u32> {
+    let place = |name: &String| inputs.classes.iter().position(|class| *class.name == **name);
+    names.iter().filter_map(place).filter_map(|at| u32::try_from(at).ok()).collect()
+}
+
+/// Adds one plug-in's advice to what those before it gave: factors multiply, the lower cap holds, whoever forbids a second
+/// try or leaves a server out is heard, and of two exclusions the longer one. Caps and exclusions that differ are told.
+fn compose(turn: &mut Turn, name: &Arc<str>, own: Advice, inputs: &Inputs) {
+    let all = &mut turn.advice;
+    for (of, factor) in own.factors {
+        *all.factors.entry(of).or_insert(1.0) *= factor;
+    }
+    for (class, cap) in own.caps {
+        match all.caps.get_mut(&class) {
+            Some(known) if *known != cap => {
+                let of = inputs.classes.get(class as usize).map_or("", |class| &class.name);
+                let words = format!("the cap of {of} is {cap} here and {known} before: the lower holds");
+                *known = known.min(cap);
+                turn.words.push((Arc::clone(name), Word::Differs(words)));
+            }
+            Some(_) => {}
+            None => {
+                all.caps.insert(class, cap);
+            }
+        }
+    }
+    for (server, (reason, seconds)) in own.excluded {
+        match all.excluded.get_mut(&server) {
+            Some((known, length)) => {
+                let of = inputs.servers.get(server as usize).map_or("", |server| &server.name);
+                let words =
+                    format!("{of} is left out for {reason:?} here and {known:?} before: the longer holds");
+                if seconds > *length {
+                    (*known, *length) = (reason, seconds);
+                }
+                turn.words.push((Arc::clone(name), Word::Differs(words)));
+            }
+            None => {
+                all.excluded.insert(server, (reason, seconds));
+            }
+        }
+    }
+    all.never.extend(own.never);
+    all.never.sort_unstable();
+    all.never.dedup();
+    all.steered.extend(own.steered);
+    all.steered.sort_unstable();
+    all.steered.dedup();
+}
