--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -72,6 +72,8 @@
         /** Order to effect. */
         took: Micros,
     },
+    /// What plug-ins advise, in the place of what they advised before.
+    Advice(Advised),
     /// The result of a probe.
     Probed {
         /** The probe. */
@@ -85,6 +87,34 @@
     },
 }
 
+/// What plug-ins advise, by names; a name that is not known any more is passed over.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Advised {
+    /// Share of its weight that a server keeps for the proxies of a zone, for a class that is steered apart or for all.
+    pub factors: Vec<(String, String, Option<String>, f64)>,
+    /// The most of a class that is let in, as a share.
+    pub caps: Vec<(String, f64)>,
+    /// Classes that are not to be tried again.
+    pub never: Vec<String>,
+    /// Servers to leave out, and until when.
+    pub excluded: Vec<(String, Micros)>,
+    /// Classes that are steered apart.
+    pub apart: Vec<String>,
+    /// When all of it ends, unless it is said again.
+    pub until: Micros,
+}
+
+/// A class as the settings describe it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClassView {
+    /// Its name.
+    pub name: String,
+    /// `safe`, `keyed` or `unsafe`: what a second run would do.
+    pub effect: &'static str,
+    /// What an answer in time is worth.
+    pub worth: f64,
+}
+
 /// A report names what this supervisor does not know; it was dropped.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Unknown {
@@ -129,6 +159,7 @@
 pub struct Engine {
     policy: Policy,
     names: Names,
+    classes: Vec<ClassView>,
     proxies: usize,
     zones: usize,
     tables: Tables,
@@ -154,7 +185,16 @@
         classes: Vec<String>,
         kinds: Vec<String>,
     ) -> Self {
+        let view = |(class, name): (&Class, &String)| {
+            let effect = match class.effect {
+                Effect::Safe => "safe",
+                Effect::Keyed(..) => "keyed",
+                Effect::Unsafe => "unsafe",
+            };
+            ClassView { name: name.clone(), effect, worth: class.worth }
+        };
         Engine {
+            classes: settings.classes.iter().zip(&classes).map(view).collect(),
             names: Names::new(zones, classes, kinds),
             proxies: settings.proxies,
             zones: settings.zones,
@@ -214,6 +254,7 @@
             Report::Ack { stream, mark, took } => {
                 Event::Receipt { proxy: self.streams.proxy(stream).ok_or(Unknown::Stream)?, mark, took }
             }
+            Report::Advice(advised) => Event::Advice(self.advice(&advised)),
             Report::Probed { probe, end, took, load } => {
                 Event::Probed { server: probe.server, end, took, load }
             }
@@ -222,6 +263,44 @@
         Ok(())
     }
 
+    fn advice(&self, advised: &Advised) -> Advice {
+        let server = |name: &str| self.names.server(name);
+        let class = |name: &str| self.names.class(name);
+        let set = |names: &[String]| {
+            let known = names.iter().filter_map(|name| class(name));
+            known.fold(ClassSet::default(), |set, class| set.with(class.0.into()))
+        };
+        let factor = |(name, zone, of, factor): &(String, String, Option<String>, f64)| {
+            let of = match of {
+                Some(name) => Some(class(name)?),
+                None => None,
+            };
+            Some((server(name)?, self.zone(zone).ok()?, of, *factor))
+        };
+        Advice {
+            factors: advised.factors.iter().filter_map(factor).collect(),
+            caps: advised.caps.iter().filter_map(|(name, cap)| Some((class(name)?, *cap))).collect(),
+            never: set(&advised.never),
+            excluded: advised
+                .excluded
+                .iter()
+                .filter_map(|(name, until)| Some((server(name)?, *until)))
+                .collect(),
+            apart: set(&advised.apart),
+            until: advised.until,
+        }
+    }
+
+    /// The classes as the settings describe them.
+    pub fn classes(&self) -> &[ClassView] {
+        &self.classes
+    }
+
+    /// Requests a second that come to all joined proxies.
+    pub fn demand(&self) -> f64 {
+        self.policy.figures().demand
+    }
+
     fn zone(&self, name: &str) -> Result<ZoneId, Unknown> {
         let known = self.names.zone(name).filter(|zone| usize::from(zone.0) < self.zones);
         known.ok_or_else(|| Unknown::Zone(name.to_string()))
--- a/crates/engine/src/notes.rs
+++ b/crates/engine/src/notes.rs
@@ -158,6 +158,7 @@
         Note::Saturation { refused, strain, queues, probes, mute } => {
             Kind::Saturation(pb::Saturation { refused, strain, queues, probes, mute })
         }
+        Note::Void { table, void } => Kind::AdviceVoid(pb::AdviceVoid { table: u32::from(table.0), void }),
         Note::Parts { parts, narrowed } => {
             Kind::Parts(pb::Parts { parts: u32::try_from(parts).unwrap_or(u32::MAX), narrowed })
         }
@@ -178,7 +179,7 @@
     streams: usize,
     standings: impl Iterator<Item = Standing>,
 ) -> pb::Gauge {
-    let Figures { waiting, refused, strain, levels } = figures;
+    let Figures { waiting, refused, strain, levels, .. } = figures;
     let streams = u32::try_from(streams).unwrap_or(u32::MAX);
     let mut gauge = pb::Gauge { waiting, refused, strain, streams, levels, ..pb::Gauge::default() };
     for of in standings {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -28,6 +28,8 @@
 const CPU_MS: (u64, u64) = (200, 10_000);
 /// Least bytes for background work, in MiB in any ten seconds: a step of the index takes four.
 const MIB_LEAST: u64 = 8;
+/// Plug-ins at most: what the host of plug-ins takes.
+const PLUGINS_MOST: usize = 32;
 /// Figures that hold where the file says nothing.
 const KEEP_MIB: u64 = 1024;
 const KEEP_HOURS: u64 = 168;
@@ -97,6 +99,8 @@
     pub records: Option<Records>,
     /// The log's form.
     pub log: LogFormat,
+    /// Texts of plug-ins, in their order.
+    pub plugins: Vec<PathBuf>,
 }
 
 /// Reads the file; all faults at once.
@@ -167,7 +171,26 @@
         Some(pb::log::Format::Json) => LogFormat::Json,
         _ => LogFormat::Plain,
     };
-    Operator { records: file.records.as_ref().and_then(|records| check_records(records, fault)), log }
+    let plugins = file.plugins.as_ref().map(|plugins| check_plugins(plugins, fault)).unwrap_or_default();
+    Operator {
+        records: file.records.as_ref().and_then(|records| check_records(records, fault)),
+        log,
+        plugins,
+    }
+}
+
+fn check_plugins(plugins: &pb::Plugins, fault: &mut impl FnMut(&str, String)) -> Vec<PathBuf> {
+    if plugins.file.len() > PLUGINS_MOST {
+        fault("plugins", format!("{} plug-ins are too many: at most {PLUGINS_MOST}", plugins.file.len()));
+    }
+    let files: Vec<PathBuf> = plugins.file.iter().map(PathBuf::from).collect();
+    for file in files.iter().filter(|file| !file.is_absolute()) {
+        fault(
+            "file",
+            format!("{file:?} depends on where the program is started: give a path that begins with /"),
+        );
+    }
+    files
 }
 
 fn given(value: u64, usual: u64) -> u64 {
--- a/crates/plugins/benches/machine.rs
+++ b/crates/plugins/benches/machine.rs
@@ -19,7 +19,7 @@
 }"#;
 
 fn inputs(servers: usize) -> Inputs {
-    let named = |n: usize| Server::well(&format!("s-{n:08x}"), if n % 2 == 0 { "a" } else { "b" });
+    let named = |n: usize| Server::well(&format!("s-{n:08x}"), ["a", "b"][n % 2]);
     Inputs {
         servers: (0..servers).map(named).collect(),
         classes: ["refund-order", "petition-file", "status-read"].map(Class::plain).into(),
--- a/crates/plugins/src/compile.rs
+++ b/crates/plugins/src/compile.rs
@@ -109,9 +109,8 @@
 
     fn patch(&mut self, at: usize) {
         let here = self.here();
-        match self.code.get_mut(at) {
-            Some(Op::Jump(to) | Op::JumpIfNot(to) | Op::Next(_, _, to)) => *to = here,
-            _ => {}
+        if let Some(Op::Jump(to) | Op::JumpIfNot(to) | Op::Next(_, _, to)) = self.code.get_mut(at) {
+            *to = here;
         }
     }
 
--- a/crates/plugins/src/host.rs
+++ b/crates/plugins/src/host.rs
@@ -82,6 +82,9 @@
     turn: u64,
 }
 
+/// The name, version and digest of a text that was taken.
+pub type Taken = (String, u32, [u8; 32]);
+
 /// A text that is not taken, with all that is wrong with it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Refused {
@@ -94,7 +97,7 @@
 impl Host {
     /// Takes these texts in the place of those that are loaded, whole or not at all. What lives between calls goes on
     /// under the same plug-in's name, where its shape is the same.
-    pub fn load(&mut self, texts: &[(String, String)]) -> Result<Vec<(String, u32, [u8; 32])>, Vec<Refused>> {
+    pub fn load(&mut self, texts: &[(String, String)]) -> Result<Vec<Taken>, Vec<Refused>> {
         let (mut loaded, mut refused) = (Vec::<Loaded>::new(), Vec::new());
         for (name, text) in texts {
             match compile(text) {
--- a/crates/plugins/src/parse.rs
+++ b/crates/plugins/src/parse.rs
@@ -1,4 +1,6 @@
 //! Tokens to a tree. Faults are told all at once: after one, reading goes on with the next part.
+// The parser library's own faults are large; they live only while one text is read.
+#![allow(clippy::result_large_err)]
 
 use chumsky::prelude::*;
 use chumsky::Stream;
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -423,10 +423,30 @@
         /** The payload. */
         data: Vec<u8>,
     },
+    /// What plug-ins advise from now on, in the place of what they advised before.
+    Advice(Advice),
     /// A timer came due.
     Timer(u32),
 }
 
+/// What plug-ins advise. It can lower traffic or move it, and nothing else: what is not named is left as it is.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Advice {
+    /// Share of its weight that a server keeps in the tables of a zone's proxies: for a class that is steered apart, or
+    /// for all.
+    pub factors: Vec<(ServerId, ZoneId, Option<ClassId>, f64)>,
+    /// The most of a class that is let in, as a share.
+    pub caps: Vec<(ClassId, f64)>,
+    /// Classes that are not to be tried again.
+    pub never: ClassSet,
+    /// Servers to leave out, and until when.
+    pub excluded: Vec<(ServerId, Micros)>,
+    /// Classes that are steered apart from the others, in tables of their own.
+    pub apart: ClassSet,
+    /// When all but that ends, unless it is said again.
+    pub until: Micros,
+}
+
 /// What an instance can order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -586,6 +606,13 @@
         /** By the probes that fail. */
         mute: f64,
     },
+    /// Advice on a table's servers is void, or holds again: it would leave the table too little.
+    Void {
+        /** The table. */
+        table: TableId,
+        /** It is void. */
+        void: bool,
+    },
     /// The fleet was dealt into parts anew.
     Parts {
         /** How many. */
@@ -623,6 +650,8 @@
     pub refused: f64,
     /** The smoothed saturation. */
     pub strain: f64,
+    /** Requests a second that come to all joined proxies. */
+    pub demand: f64,
     /** The lowest level of each class in any table; a rate counts as the share it admits of the highest. */
     pub levels: Vec<f64>,
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -103,6 +103,11 @@
 /// Beyond the longest way there and back, no confirmation for so long means an empty channel.
 const CHANNEL_SILENT: Micros = Micros(3_000_000);
 
+/// Least time between two changes of advice, and the longest that any stands without being said again.
+const ADVICE: (Micros, Micros) = (Micros(5_000_000), Micros(15_000_000));
+/// Least share of a table's warm weight that advice must leave: else it is void there.
+const ADVICE_LEAVES: f64 = 0.5;
+
 const TICK_TIMER: u32 = 1;
 
 impl Server {
@@ -189,6 +194,8 @@
     links: BTreeMap<(ZoneId, ZoneId), f64>, // scores of the ways, by zone of proxies and of servers
     cut: BTreeSet<ZoneId>,                  // zones that do not answer here while another does
     cold_out: bool,                         // cold servers are held out of tables
+    advised: Advised,                       // what plug-ins advise
+    apart: ClassSet,                        // classes with tables of their own, by advice
     ticked: Micros,
     updated: Option<Micros>,
     subscribe_at: Option<Micros>,
@@ -304,10 +311,26 @@
             Event::Held { table, server, weight } => {
                 self.tables.entry(*table).or_default().lines.insert(*server, *weight);
             }
+            Event::Advice(advice) => self.heed(now, advice),
             Event::Peer { .. } | Event::Timer(_) => {}
         }
     }
 
+    /// Takes advice, no oftener than it may change. Danger: a rule that swings fills the channel and starves the
+    /// lines of servers that fail. In a saturated fleet all are needed, and none is left out or spared.
+    fn heed(&mut self, now: Micros, advice: &Advice) {
+        if self.advised.taken.is_some_and(|taken| now - taken < ADVICE.0) {
+            return;
+        }
+        self.advised = Advised::of(advice, now);
+        self.advised.until = advice.until.min(now + ADVICE.1);
+        self.apart = advice.apart;
+        if self.admission.strain >= REFUSE.0 {
+            self.advised.factors.clear();
+            self.advised.excluded.clear();
+        }
+    }
+
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         let first = self.servers.is_empty();
         if kind != ListKind::Changes {
@@ -341,6 +364,9 @@
     fn tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         let elapsed = (now - self.ticked).secs().max(0.0);
         self.ticked = now;
+        if self.advised.until <= now {
+            self.advised = Advised { taken: self.advised.taken, ..Advised::default() };
+        }
         out.extend(self.subscribe_at.take_if(|at| *at <= now).map(|_| Action::Subscribe(true)));
         self.further = self.way();
         // Failed probes blame no server while few are answered: the own process or the way there may fail.
@@ -509,7 +535,7 @@
     }
 
     /// The lines a table should have.
-    fn target(&self, scheme: Scheme, lean: &Zones, cold: (f64, bool)) -> Lines {
+    fn target(&self, scheme: Scheme, lean: &Zones, cold: (f64, bool)) -> (Lines, bool) {
         let Scheme { zone, home_only, part, .. } = scheme;
         let home = |server: &Server| !home_only || zone == server.entry.zone;
         let of_part = |server: &&Server| part == self.parts || server.dealt % self.parts == part;
@@ -524,8 +550,27 @@
         let mut lines: Lines = here.map(|(id, server)| (*id, server.weight * lean(server))).collect();
         let known = self.servers.values().filter(|server| within(server)).map(Server::size).sum();
         let listed = self.open().map(|(_, server)| server).filter(of_part).map(Server::size).sum();
+        let void = self.advise(scheme, &mut lines);
         self.spare_the_cold(known, listed, cold, &mut lines);
-        lines
+        (lines, void)
+    }
+
+    /// Advice on a table's servers: void where it would leave too little of the warm ones' weight.
+    fn advise(&self, scheme: Scheme, lines: &mut Lines) -> bool {
+        if self.advised.factors.is_empty() && self.advised.excluded.is_empty() {
+            return false;
+        }
+        let class = (0..self.settings.classes.len()).find(|k| scheme.apart.has(*k) && scheme.classes.has(*k));
+        let class = class.map(|k| ClassId(k as u8));
+        let share = |id: &ServerId| self.advised.share(*id, scheme.zone, class, self.ticked);
+        let advised: Lines = lines.iter().map(|(id, weight)| (*id, weight * share(id))).collect();
+        let warm = |id: &ServerId| self.servers.get(id).is_some_and(|server| server.warmth >= 1.0);
+        let sum = |of: &Lines| of.iter().filter(|(id, _)| warm(id)).map(|line| line.1).sum::<f64>();
+        let void = sum(&advised) < ADVICE_LEAVES * sum(lines);
+        if !void {
+            *lines = advised;
+        }
+        void
     }
 
     fn alone(&self) -> bool {
@@ -636,6 +681,7 @@
             let refused = refuse.min(came * (1.0 - ADMIT.0));
             refuse -= refused;
             let share = (20.0 * (1.0 - refused / came)).round() / 20.0;
+            let share = share.min(self.advised.caps.get(&k).map_or(1.0, |cap| cap.max(ADMIT.0)));
             if let Some(level) = levels.get_mut(k).filter(|_| share < 1.0) {
                 *level = if rates { (share * busiest * came / all).max(ADMIT.0).ceil() } else { share };
             }
@@ -695,10 +741,11 @@
         let narrow = (proxies / NARROW_TO.0).min(servers / NARROW_TO.1) as usize;
         let narrowed = self.narrowed.is_some_and(|at| now - at < NARROW_FROM.1);
         let parts = if narrowed { narrow.max(self.usual_parts) } else { self.usual_parts };
-        if parts != self.parts {
+        let apart = |scheme: &Scheme| scheme.apart;
+        if parts != self.parts || self.schemes.first().map_or(self.apart, apart) != self.apart {
             // Tables under new numbers, which cost nothing while nobody uses them.
             let first = self.schemes.last().map_or(0, |scheme| (scheme.table.0 + 1) % (u16::MAX / 2));
-            self.schemes = schemes(&self.settings, parts, first);
+            self.schemes = schemes(&self.settings, parts, first, self.apart);
             self.parts = parts;
             orders.actions.push(Action::Note(Note::Parts { parts, narrowed }));
             self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
@@ -756,17 +803,21 @@
             let users = self.proxies.iter().filter(|(_, proxy)| serves(proxy));
             let users: Vec<ProxyId> = users.map(|(id, _)| *id).collect();
             let used = self.messages_used(users.iter());
-            let target = self.target(scheme, lean, cold);
+            let (target, void) = self.target(scheme, lean, cold);
             let rates = users.iter().filter_map(|id| Some(self.proxies.get(id)?.rate()));
             let rate = rates.sum::<f64>() / users.len().max(1) as f64;
             self.changes(scheme, &target, rate, &mut changes);
             // No effect twice: a second try only after proof that the first did not run.
             let known = self.tables.entry(scheme.table).or_default();
+            if std::mem::replace(&mut known.void, void) != void {
+                orders.actions.push(Action::Note(Note::Void { table: scheme.table, void }));
+            }
             for (k, &level) in levels.iter().enumerate().filter(|(k, _)| scheme.classes.has(*k)) {
-                if known.levels.get(&k) != Some(&level) && (users.is_empty() || used <= MESSAGES.1) {
-                    known.levels.insert(k, level);
+                let retry = if self.advised.never.has(k) { Retry::Never } else { Retry::Unrun };
+                if known.levels.get(&k) != Some(&(level, retry)) && (users.is_empty() || used <= MESSAGES.1) {
+                    known.levels.insert(k, (level, retry));
                     let (table, classes) = (Some(scheme.table), ClassSet::default().with(k));
-                    let order = Action::Admit { table, classes, level, retry: Retry::Unrun };
+                    let order = Action::Admit { table, classes, level, retry };
                     orders.give(order, users.iter().copied());
                 }
             }
@@ -885,7 +936,7 @@
 
     /// Tables of slices in charge: a line stays while its server is usable, since it knows the slice's keys.
     fn slice_lines(&mut self, now: Micros, orders: &mut Orders) {
-        let usable = self.target(Scheme::default(), &Zones::new(), self.cold_demand());
+        let usable = self.target(Scheme::default(), &Zones::new(), self.cold_demand()).0;
         let mark = self.channel.next_mark();
         let proxies: BTreeSet<ProxyId> = self.proxies.keys().copied().collect();
         for (id, slice) in &mut self.slices {
@@ -924,20 +975,24 @@
     settings.cross_price > 0.0 && settings.instances == 1
 }
 
-/// The tables without slices: for each part of the fleet and zone, one more where classes stay at home.
-fn schemes(settings: &Settings, parts: usize, first: u16) -> Vec<Scheme> {
-    let set = |home_only: bool| {
+/// The tables without slices: for each part of the fleet and zone, one more where classes stay at home, and one
+/// for each class that is steered apart.
+fn schemes(settings: &Settings, parts: usize, first: u16, apart: ClassSet) -> Vec<Scheme> {
+    let mut groups: Vec<(bool, ClassSet)> = Vec::new();
+    for home_only in [false, true] {
         let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
-        classes.fold(ClassSet::default(), |set, (k, _)| set.with(k))
-    };
-    let tables = (0..settings.zones.max(1) as u16).flat_map(|z| [(ZoneId(z), false), (ZoneId(z), true)]);
-    let tables = tables.filter(|(_, home_only)| set(*home_only) != ClassSet::default());
-    let tables = tables.flat_map(|(zone, home_only)| {
-        (0..parts + usize::from(parts > 1)).map(move |part| (zone, home_only, part))
-    });
+        let (own, together): (Vec<usize>, Vec<usize>) = classes.map(|(k, _)| k).partition(|k| apart.has(*k));
+        groups.push((home_only, together.into_iter().fold(ClassSet::default(), ClassSet::with)));
+        groups.extend(own.into_iter().map(|k| (home_only, ClassSet::default().with(k))));
+    }
+    groups.retain(|(_, classes)| *classes != ClassSet::default());
+    let tables =
+        (0..settings.zones.max(1) as u16).flat_map(|z| groups.iter().map(move |group| (ZoneId(z), group)));
+    let tables = tables
+        .flat_map(|(zone, group)| (0..parts + usize::from(parts > 1)).map(move |part| (zone, *group, part)));
     let tables = (first..u16::MAX).map(TableId).zip(tables);
     let scheme =
-        |(table, (zone, home_only, part))| Scheme { table, zone, home_only, part, classes: set(home_only) };
+        |(table, (zone, (home_only, classes), part))| Scheme { table, zone, home_only, part, classes, apart };
     tables.map(scheme).collect()
 }
 
--- a/crates/policy/src/policy/view.rs
+++ b/crates/policy/src/policy/view.rs
@@ -27,12 +27,13 @@
         };
         let levels = (0..self.settings.classes.len()).map(|class| {
             let standing = self.tables.values().filter_map(|table| table.levels.get(&class));
-            standing.map(|level| share(*level)).fold(1.0, f64::min)
+            standing.map(|(level, _)| share(*level)).fold(1.0, f64::min)
         });
         Figures {
             waiting: self.channel.waiting(),
             refused: self.admission.refused,
             strain: self.admission.strain,
+            demand: self.proxies.values().map(|proxy| proxy.rate()).sum(),
             levels: levels.collect(),
         }
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -141,7 +141,42 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Table {
     pub lines: Lines,
-    pub levels: BTreeMap<usize, f64>,
+    pub levels: BTreeMap<usize, (f64, Retry)>,
+    pub void: bool,
+}
+
+/// What plug-ins advised, as it was taken, and when.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Advised {
+    pub factors: BTreeMap<(ZoneId, Option<ClassId>), Lines>,
+    pub caps: BTreeMap<usize, f64>,
+    pub never: ClassSet,
+    pub excluded: BTreeMap<ServerId, Micros>,
+    pub until: Micros,
+    pub taken: Option<Micros>,
+}
+
+impl Advised {
+    pub fn of(advice: &Advice, now: Micros) -> Self {
+        let mut factors = BTreeMap::<_, Lines>::new();
+        for (server, zone, class, factor) in &advice.factors {
+            factors.entry((*zone, *class)).or_default().insert(*server, *factor);
+        }
+        let caps = advice.caps.iter().filter(|(_, cap)| !cap.is_nan());
+        let caps = caps.map(|(class, cap)| (usize::from(class.0), *cap)).collect();
+        let excluded = advice.excluded.iter().copied().collect();
+        Advised { factors, caps, never: advice.never, excluded, until: advice.until, taken: Some(now) }
+    }
+    /// The share of its weight that a server keeps for a class, or for all, in a zone's tables.
+    pub fn share(&self, server: ServerId, zone: ZoneId, class: Option<ClassId>, now: Micros) -> f64 {
+        if self.excluded.get(&server).is_some_and(|until| *until > now) {
+            return 0.0;
+        }
+        // What is no number says nothing.
+        let of = |class| self.factors.get(&(zone, class)).and_then(|lines| lines.get(&server));
+        let of = |class| of(class).copied().filter(|factor| !factor.is_nan()).map_or(1.0, clamp01);
+        class.map_or(1.0, |class| of(Some(class))) * of(None)
+    }
 }
 
 /// Which table serves whom: the proxies of a zone that are on a part of the fleet; with that zone's servers
@@ -153,6 +188,7 @@
     pub home_only: bool,
     pub part: usize,
     pub classes: ClassSet,
+    pub apart: ClassSet,
 }
 
 impl Scheme {
--- /dev/null
+++ b/crates/policy/tests/advice.rs
@@ -0,0 +1,253 @@
+//! Advice: it lowers and moves, and whatever it says the rules hold.
+
+mod common;
+use std::collections::BTreeSet;
+
+use chutegrade_policy::interface::*;
+use common::*;
+use proptest::prelude::*;
+
+fn long() -> Advice {
+    Advice { until: ms(i64::from(u32::MAX)), ..Advice::default() }
+}
+
+/// The same for all zones.
+fn factors(of: &[(u32, Option<u8>, f64)]) -> Vec<(ServerId, ZoneId, Option<ClassId>, f64)> {
+    let zones = [ZoneId(0), ZoneId(1)];
+    let each = zones.into_iter().flat_map(|zone| of.iter().map(move |of| (zone, of)));
+    each.map(|(zone, (id, class, factor))| (ServerId(*id), zone, class.map(ClassId), *factor)).collect()
+}
+
+/// Seconds in which advice is given each second, as a host does.
+fn advised(world: &mut World, seconds: u32, advice: &Advice, also: &[Event]) {
+    let mut events = also.to_vec();
+    events.push(Event::Advice(advice.clone()));
+    world.run(seconds, &events);
+}
+
+#[test]
+fn advice_lowers_a_server_and_lets_it_back_when_it_ends() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(3, &healthy(8, &[]));
+    let advice = Advice { factors: factors(&[(2, None, 0.25)]), ..long() };
+    advised(&mut world, 8, &advice, &healthy(8, &[]));
+    let share = world.weight(2) / world.weight(3);
+    assert!((share - 0.25).abs() < 0.06, "{share}");
+    // The host says nothing any more: within the time that advice stands, all is as before.
+    world.run(20, &healthy(8, &[]));
+    assert!((world.weight(2) / world.weight(3) - 1.0).abs() < 0.06, "{}", world.weight(2));
+}
+
+#[test]
+fn an_exclusion_holds_until_its_end() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(3, &healthy(8, &[]));
+    let advice = Advice { excluded: vec![(ServerId(5), world.now + ms(9000))], ..long() };
+    advised(&mut world, 6, &advice, &healthy(8, &[]));
+    assert_eq!(world.weight(5), 0.0);
+    advised(&mut world, 10, &advice, &healthy(8, &[]));
+    assert!(world.weight(5) > 0.0, "the advice says it still, but its time is over");
+}
+
+#[test]
+fn a_class_that_is_steered_apart_leaves_the_others_as_they_are() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(3, &healthy(8, &[]));
+    let apart = ClassSet::default().with(1);
+    let advice = Advice { factors: factors(&[(2, Some(1), 0.0)]), apart, ..long() };
+    advised(&mut world, 8, &advice, &healthy(8, &[]));
+    for proxy in 0..4u32 {
+        let bound = &world.bound[&ProxyId(proxy)];
+        let table = |class| bound.iter().rev().find(|(_, classes)| classes.has(class)).expect("bound").0;
+        let weight = |class| world.tables[&table(class)].get(&ServerId(2)).copied().unwrap_or(0.0);
+        assert_ne!(table(0), table(1), "tables of their own");
+        assert!(weight(0) > 0.0 && weight(1) == 0.0, "{} {}", weight(0), weight(1));
+    }
+    assert!(world.retries.values().all(|retry| *retry == Retry::Unrun));
+}
+
+#[test]
+fn caps_and_tries_only_narrow() {
+    let mut world = World::new(settings(), 8, 4);
+    world.run(3, &healthy(8, &[]));
+    let caps = vec![(ClassId(0), 0.4), (ClassId(1), 0.0)];
+    let advice = Advice { caps, never: ClassSet::default().with(1), ..long() };
+    advised(&mut world, 7, &advice, &healthy(8, &[]));
+    assert_eq!((world.levels[&0], world.levels[&1]), (0.4, 0.1), "a class is never shut out whole");
+    assert_eq!((world.retries[&0], world.retries[&1]), (Retry::Unrun, Retry::Never));
+    world.run(20, &healthy(8, &[]));
+    assert_eq!((world.levels[&0], world.levels[&1], world.retries[&1]), (1.0, 1.0, Retry::Unrun));
+}
+
+/// Danger: a rule that vetoes everything leaves nobody to pick, or one server for all.
+#[test]
+fn advice_that_leaves_too_little_is_void_and_told() {
+    for vetoed in [8, 7, 5] {
+        let mut world = World::new(settings(), 8, 4);
+        world.run(3, &healthy(8, &[]));
+        let all: Vec<(u32, Option<u8>, f64)> = (0..vetoed).map(|id| (id, None, 0.0)).collect();
+        advised(&mut world, 8, &Advice { factors: factors(&all), ..long() }, &healthy(8, &[]));
+        assert!((0..8).all(|id| world.weight(id) == 4.0), "{vetoed} of 8 vetoed");
+        let void = world.actions.iter().any(|a| matches!(a, Action::Note(Note::Void { void: true, .. })));
+        assert!(void, "{vetoed} of 8 vetoed");
+    }
+}
+
+/// Danger: a rule that swings each second takes the channel from servers that fail.
+#[test]
+fn swinging_advice_takes_few_lines() {
+    let lines = |swings: bool| {
+        let mut world = World::new(settings(), 8, 4);
+        world.run(3, &healthy(8, &[]));
+        world.actions.clear();
+        for second in 0..30 {
+            let of = if second % 2 == 0 { 0 } else { 4 };
+            let down: Vec<(u32, Option<u8>, f64)> = (of..of + 3).map(|id| (id, None, 0.0)).collect();
+            let advice = Advice { factors: factors(&down), ..long() };
+            let mut events = healthy(8, &[]);
+            events.extend(swings.then_some(Event::Advice(advice)));
+            world.run(1, &events);
+        }
+        world.actions.iter().filter(|a| matches!(a, Action::Line { .. })).count()
+    };
+    let (still, swinging) = (lines(false), lines(true));
+    // Two tables; at most a change each five seconds, of six lines each.
+    assert!(swinging - still <= 2 * 6 * 7, "{swinging} lines against {still}");
+}
+
+#[test]
+fn a_saturated_fleet_is_not_made_smaller() {
+    let mut world = World::new(settings(), 8, 4);
+    let full = Load { queue: Some(30.0), ..Load::default() };
+    let busy: Vec<Event> = healthy(8, &[]).into_iter().map(|tally| reporting(tally, full)).collect();
+    world.run(8, &busy);
+    let advice = Advice { factors: factors(&[(0, None, 0.0), (1, None, 0.0)]), ..long() };
+    advised(&mut world, 8, &advice, &busy);
+    assert!((0..8).all(|id| world.weight(id) > 0.0));
+}
+
+#[test]
+fn empty_advice_changes_nothing() {
+    let run = |advice: bool| {
+        let mut world = World::new(settings(), 8, 6);
+        for round in 0..40 {
+            let mut events = healthy(8, &[round % 9]);
+            if round % 7 == 0 {
+                events.push(Event::Members(
+                    ListKind::Changes,
+                    vec![Entry { started: Some(world.now), ..entry(round % 8) }],
+                ));
+            }
+            events.extend(advice.then(|| Event::Advice(long())));
+            world.run(1, &events);
+        }
+        world.actions
+    };
+    assert_eq!(run(false), run(true));
+}
+
+fn advice_strategy() -> impl Strategy<Value = Advice> {
+    let factor = prop_oneof![Just(0.0), Just(1.0), Just(1e9), Just(-1.0), Just(f64::NAN), 0.0..1.0f64];
+    let class = prop_oneof![Just(None), (0..3u8).prop_map(|class| Some(ClassId(class)))];
+    let factors = prop::collection::vec((0..10u32, 0..3u16, class, factor.clone()), 0..30);
+    let caps = prop::collection::vec((0..3u8, factor), 0..4);
+    let excluded = prop::collection::vec((0..10u32, 0..100i64), 0..9);
+    (factors, caps, excluded, 0..8u32, 0..8u32, 0..100i64).prop_map(
+        |(factors, caps, excluded, never, apart, until)| Advice {
+            factors: factors
+                .into_iter()
+                .map(|(id, zone, class, of)| (ServerId(id), ZoneId(zone), class, of))
+                .collect(),
+            caps: caps.into_iter().map(|(class, cap)| (ClassId(class), cap)).collect(),
+            never: ClassSet(never),
+            excluded: excluded
+                .into_iter()
+                .map(|(id, until)| (ServerId(id), ms(1_000_000 + 1000 * until)))
+                .collect(),
+            apart: ClassSet(apart),
+            until: ms(1_000_000 + 1000 * until),
+        },
+    )
+}
+
+fn event_strategy() -> impl Strategy<Value = Event> {
+    let life = prop_oneof![Just(Lifecycle::InService), Just(Lifecycle::Draining), Just(Lifecycle::Gone)];
+    let end = prop_oneof![Just(ProbeEnd::Done), Just(ProbeEnd::TimedOut)];
+    prop_oneof![
+        3 => (0..8u32, 0.0..20.0f64, 0.0..1.0f64).prop_map(|(id, tries, bad)| heard(id, tries, tries * bad, 200.0)),
+        1 => (0..6u32).prop_map(joined),
+        1 => (0..6u32).prop_map(|id| Event::Left(ProxyId(id))),
+        1 => (0..8u32, life, proptest::bool::ANY).prop_map(|(id, life, fresh)| {
+            let started = fresh.then_some(ms(1_003_000));
+            Event::Members(ListKind::Changes, vec![Entry { life, started, ..entry(id) }])
+        }),
+        1 => (0..8u32, end).prop_map(|(id, end)| probed(ServerId(id), end)),
+        2 => advice_strategy().prop_map(Event::Advice),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever plug-ins advise, every rule holds: nobody without a server, no try again beyond proof, drains kept, cold
+    /// servers' parts as small as ever, few messages and a short queue.
+    #[test]
+    fn rules_hold_under_arbitrary_advice(rounds in prop::collection::vec(prop::collection::vec(event_strategy(), 0..6), 1..40)) {
+        let settings = settings();
+        let mut world = World::new(settings.clone(), 8, 6);
+        let mut open: BTreeSet<u32> = (0..8).collect();
+        let mut cold: BTreeSet<u32> = BTreeSet::new();
+        for events in rounds {
+            for event in &events {
+                match event {
+                    Event::Members(_, entries) => {
+                        for entry in entries {
+                            let (id, serves) = (entry.server.0, entry.life == Lifecycle::InService);
+                            if serves { open.insert(id) } else { open.remove(&id) };
+                            if entry.started.is_some() { cold.insert(id) } else { cold.remove(&id) };
+                        }
+                    }
+                    Event::Joined { proxy, .. } | Event::Left(proxy) => {
+                        world.bound.remove(proxy);
+                    }
+                    _ => {}
+                }
+            }
+            world.send(&events);
+            world.run(1, &[]);
+            let age = world.now - ms(1_003_000);
+            let is_cold = |id: &u32| cold.contains(id) && age < settings.cold_for + ms(500);
+            let warm: Vec<u32> = open.iter().copied().filter(|id| !is_cold(id)).collect();
+            // The tables in use: for each class of each proxy, the one that it was bound to last.
+            let last = |bound: &Vec<(TableId, ClassSet)>, class| bound.iter().rev().find(|(_, of)| of.has(class)).map(|b| b.0);
+            let tables: BTreeSet<TableId> =
+                world.bound.values().flat_map(|bound| [last(bound, 0), last(bound, 1)]).flatten().collect();
+            for table in &tables {
+                let none = Default::default();
+                let lines = world.tables.get(table).unwrap_or(&none);
+                prop_assert!(lines.values().all(|weight| weight.is_finite() && *weight > 0.0));
+                let usable = |id: &ServerId| !world.shut.contains(id);
+                prop_assert!(warm.is_empty() || lines.keys().any(usable), "nobody to pick in {table:?}");
+                for id in lines.keys().filter(|id| usable(id)) {
+                    prop_assert!(open.contains(&id.0), "{id:?} left and keeps weight");
+                }
+                // A cold server's part: far under what makes it fall, with all of the fleet's work as demand.
+                let all: f64 = lines.iter().filter(|(id, _)| usable(id)).map(|line| line.1).sum();
+                let warm_sum: f64 = lines.iter().filter(|(id, _)| usable(id) && warm.contains(&id.0)).map(|line| line.1).sum();
+                if warm_sum > 0.0 {
+                    for (id, weight) in lines.iter().filter(|(id, _)| usable(id) && is_cold(&id.0)) {
+                        let warmth = 0.2 + 0.8 * (age + ms(2500)).secs().max(0.0) / 16.0;
+                        let load = weight / all * 8.0;
+                        prop_assert!(load <= 3.0 * warmth.min(1.0), "{id:?} bears {load} at warmth {warmth}");
+                    }
+                }
+            }
+            prop_assert!(world.retries.values().all(|retry| *retry <= Retry::Unrun));
+            prop_assert!(world.levels.values().all(|level| (0.05..=1.0).contains(level)), "{:?}", world.levels);
+            for (proxy, written) in &world.messages {
+                let recent = written.iter().filter(|at| world.now - **at <= settings.messages_window).count();
+                prop_assert!(recent <= settings.messages_most, "{recent} messages to {proxy:?} in the window");
+            }
+        }
+    }
+}
--- a/crates/records/src/kind.rs
+++ b/crates/records/src/kind.rs
@@ -9,7 +9,7 @@
 pub const FIRST: u32 = 10;
 
 /// Every kind's number and name, in the order of their numbers.
-pub const KINDS: [(u32, &str); 23] = [
+pub const KINDS: [(u32, &str); 26] = [
     (10, "started"),
     (11, "stopped"),
     (12, "clock-stepped"),
@@ -25,6 +25,7 @@
     (27, "level"),
     (28, "parts"),
     (29, "failing"),
+    (30, "advice-void"),
     (40, "joined"),
     (41, "left"),
     (42, "published"),
@@ -33,6 +34,8 @@
     (45, "discovery"),
     (46, "reloaded"),
     (47, "fleet"),
+    (50, "plugin-loaded"),
+    (51, "plugin-said"),
 ];
 
 /// The number of a kind.
@@ -53,6 +56,7 @@
         Kind::Level(_) => 27,
         Kind::Parts(_) => 28,
         Kind::Failing(_) => 29,
+        Kind::AdviceVoid(_) => 30,
         Kind::StreamJoined(_) => 40,
         Kind::StreamLeft(_) => 41,
         Kind::Published(_) => 42,
@@ -61,6 +65,8 @@
         Kind::Discovery(_) => 45,
         Kind::Reloaded(_) => 46,
         Kind::Fleet(_) => 47,
+        Kind::PluginLoaded(_) => 50,
+        Kind::PluginSaid(_) => 51,
     }
 }
 
@@ -103,6 +109,9 @@
         Kind::Failing(of) => of.failing,
         Kind::Discovery(of) => !of.tells,
         Kind::Reloaded(of) => !of.taken,
+        Kind::AdviceVoid(of) => of.void,
+        Kind::PluginLoaded(of) => !of.refused.is_empty(),
+        Kind::PluginSaid(of) => matches!(of.what.as_str(), "fault" | "paused"),
         Kind::Lost(_) | Kind::ClockStepped(_) => true,
         _ => false,
     }
--- a/crates/records/src/text.rs
+++ b/crates/records/src/text.rs
@@ -93,6 +93,15 @@
             retry(of.retry),
             of.strain
         ),
+        Kind::AdviceVoid(of) if of.void => {
+            format!("advice on table {} is void: it would leave too little", of.table)
+        }
+        Kind::AdviceVoid(of) => format!("advice on table {} holds again", of.table),
+        Kind::PluginLoaded(of) if !of.refused.is_empty() => {
+            format!("plug-in {} refused: {}", of.name, of.refused)
+        }
+        Kind::PluginLoaded(of) => format!("plug-in {} version {} loaded, {}", of.name, of.version, of.digest),
+        Kind::PluginSaid(of) => format!("plug-in {} {}: {}", of.name, of.what, of.text),
         Kind::Parts(of) if of.narrowed => {
             format!("fleet dealt into {} parts, narrowed: tries fail everywhere", of.parts)
         }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -36,6 +36,8 @@
 const CUT_AFTER: Duration = Duration::from_millis(500);
 /// Time between two reports of a front end or a collector.
 const REPORT_EVERY: Duration = Duration::from_millis(1000);
+/// After the list told of a drain nobody may send there for longer than this: the settings' grace, and what sockets add.
+const DRAIN_MOST: Duration = Duration::from_millis(2300);
 /// Wait before a front end or a collector dials again.
 const DIAL_AGAIN: Duration = Duration::from_millis(100);
 
@@ -67,6 +69,8 @@
     fails: AtomicBool,
     gone: AtomicBool,
     work_ms: Mutex<f64>,
+    /// When the list told that it drains.
+    drained: Mutex<Option<Instant>>,
     /// Requests of the class that must not run twice, by request.
     ran: Mutex<BTreeMap<u64, u32>>,
 }
@@ -112,6 +116,7 @@
             fails: AtomicBool::new(false),
             gone: AtomicBool::new(false),
             work_ms: Mutex::new(WORK.0.as_secs_f64() * 1000.0),
+            drained: Mutex::default(),
             ran: Mutex::default(),
         });
         let probed = Arc::clone(&worker);
@@ -245,6 +250,12 @@
     pub done: Arc<AtomicU64>,
     /// Given up.
     pub failed: Arc<AtomicU64>,
+    /// Found nobody to pick, which is a rule broken if it lasts.
+    pub unserved: Arc<AtomicU64>,
+    /// Came to a server that had drained for longer than the rule allows.
+    pub after_drain: Arc<AtomicU64>,
+    /// Orders that the protocol does not allow.
+    pub bad_orders: Arc<AtomicU64>,
 }
 
 impl Drop for Fleet {
@@ -284,7 +295,8 @@
         let mut tasks = Vec::new();
         for (at, front) in self.fronts.iter().enumerate() {
             let first = at % supervisors;
-            tasks.push(tokio::spawn(streams(Arc::clone(front), self.addresses.clone(), first)));
+            let served = self.served.clone();
+            tasks.push(tokio::spawn(streams(Arc::clone(front), self.addresses.clone(), first, served)));
             let rng = StdRng::seed_from_u64(self.seed ^ (u64::from(front.id) << 32));
             tasks.push(tokio::spawn(requests(Arc::downgrade(self), Arc::clone(front), rng)));
         }
@@ -312,6 +324,20 @@
         Arc::clone(held(&self.workers).get(name).unwrap_or_else(|| panic!("no server {name}")))
     }
 
+    /// What of the rules was broken so far, as front ends and servers saw it: in words, none if nothing was. Nobody to pick
+    /// counts only beyond so many requests, since a table may be empty for a moment.
+    pub fn broken(&self, unserved_most: u64) -> Vec<String> {
+        let count = |of: &AtomicU64| of.load(Ordering::Relaxed);
+        let served = &self.served;
+        let found = [
+            (count(&served.unserved).saturating_sub(unserved_most), "requests found nobody to pick"),
+            (count(&served.after_drain), "tries went to a server that had drained"),
+            (count(&served.bad_orders), "orders are not allowed by the protocol"),
+            (self.ran_twice() as u64, "requests ran twice that must not"),
+        ];
+        found.iter().filter(|(count, _)| *count > 0).map(|(count, what)| format!("{count} {what}")).collect()
+    }
+
     /// Requests of the class that must not run twice that did.
     pub fn ran_twice(&self) -> usize {
         let mut runs: BTreeMap<u64, u32> = BTreeMap::new();
@@ -326,6 +352,7 @@
     /// The list says that a server drains.
     pub fn drain(&self, name: &str) {
         let worker = self.worker(name);
+        *held(&worker.drained) = Some(Instant::now());
         self.discovery.set_in(worker.zone, name, worker.address, "draining", 0);
     }
 
@@ -340,6 +367,7 @@
     pub fn restart(&self, name: &str) {
         let worker = self.worker(name);
         worker.gone.store(false, Ordering::Relaxed);
+        *held(&worker.drained) = None;
         self.discovery.set_in(worker.zone, name, worker.address, "up", now_us() / 1000);
     }
 
@@ -377,6 +405,13 @@
         }
     }
 
+    /// Servers that each front end may pick for a class.
+    pub fn picks(&self, class: &str) -> Vec<Vec<String>> {
+        let of =
+            |front: &Arc<FrontEnd>| held(&front.tables).picks(class).into_iter().map(String::from).collect();
+        self.fronts.iter().map(of).collect()
+    }
+
     /// Waits until every front end holds a table with somebody to pick.
     pub async fn tables(&self) {
         let holds = |front: &Arc<FrontEnd>| {
@@ -403,12 +438,15 @@
 }
 
 /// Keeps a stream to a supervisor, and goes to the next when it breaks.
-async fn streams(front: Arc<FrontEnd>, addresses: Addresses, first: usize) {
+async fn streams(front: Arc<FrontEnd>, addresses: Addresses, first: usize, served: Served) {
     let mut next = first;
     loop {
         if let Some((at, address)) = addresses.from(next) {
             front.joined.store(at, Ordering::Relaxed);
-            let _ = stream(&front, address).await;
+            let ended = stream(&front, address).await;
+            if ended.is_err_and(|fault| fault.kind() == std::io::ErrorKind::InvalidData) {
+                served.bad_orders.fetch_add(1, Ordering::Relaxed);
+            }
             front.joined.store(usize::MAX, Ordering::Relaxed);
             // One that was merely broken off comes back; one whose supervisor has gone finds the next.
             next = first;
@@ -429,7 +467,8 @@
         let mut lines = BufReader::new(read).lines();
         while let Some(line) = lines.next_line().await? {
             let mark = held(&front.tables).apply(line.trim_end());
-            if let Some(mark) = mark.map_err(std::io::Error::other)? {
+            let told = |fault: String| std::io::Error::new(std::io::ErrorKind::InvalidData, fault);
+            if let Some(mark) = mark.map_err(told)? {
                 let _ = marks.send(mark);
             }
         }
@@ -519,9 +558,15 @@
     let name = {
         let tables = held(&front.tables);
         let (names, weights): (Vec<&str>, Vec<f64>) = tables.weights(request.1).unzip();
+        if names.is_empty() {
+            fleet.served.unserved.fetch_add(1, Ordering::Relaxed);
+        }
         names[WeightedIndex::new(weights).ok()?.sample(rng)].to_string()
     };
     let worker = fleet.worker(&name);
+    if held(&worker.drained).is_some_and(|told| told.elapsed() > DRAIN_MOST) {
+        fleet.served.after_drain.fetch_add(1, Ordering::Relaxed);
+    }
     let through = front.joined.load(Ordering::Relaxed);
     let mean = *held(&worker.work_ms);
     let length = Duration::from_secs_f64(mean * rng.random_range(0.5..1.5) / 1000.0);
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -171,6 +171,11 @@
         self.signal("-HUP").await;
     }
 
+    /// Sends SIGHUP.
+    pub async fn hang_up(&self) {
+        self.signal("-HUP").await;
+    }
+
     /// Sends SIGTERM; its exit code.
     pub async fn terminate(&mut self) -> Option<i32> {
         self.signal("-TERM").await;
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -41,11 +41,16 @@
 impl Stage {
     /// Starts fleet and supervisors, whose records go below the directory.
     pub async fn set(program: &Path, directory: &Path, seed: u64) -> Self {
+        Stage::set_with(program, directory, seed, "").await
+    }
+
+    /// The same with more in the operators' file.
+    pub async fn set_with(program: &Path, directory: &Path, seed: u64, more: &str) -> Self {
         let records = directory.join("records");
         std::fs::create_dir_all(&records).expect("a directory");
         let operator = directory.join("operator.txtpb");
         let absolute = std::fs::canonicalize(&records).expect("the directory just made");
-        let text = format!("records {{ directory: {:?} }}\n", absolute.display().to_string());
+        let text = format!("records {{ directory: {:?} }}\n{more}\n", absolute.display().to_string());
         std::fs::write(&operator, text).expect("an operators' file");
         let fleet = Fleet::start(SIZE.0, SIZE.1, SIZE.2, seed).await;
         let mut stage = Stage {
@@ -83,6 +88,31 @@
         supervisor.kill().await;
     }
 
+    /// Sends SIGHUP to all supervisors.
+    pub async fn reload(&self) {
+        for supervisor in self.supervisors.iter().flatten() {
+            supervisor.hang_up().await;
+        }
+    }
+
+    /// Whether every supervisor answers `probe`.
+    pub async fn alive(&self) -> bool {
+        for supervisor in self.supervisors.iter().flatten() {
+            if !supervisor.alive().await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Waits until all supervisors have logged these words so many times.
+    pub async fn logs(&self, times: usize, words: &[&str]) {
+        for supervisor in self.supervisors.iter().flatten() {
+            let what = format!("{times} log lines with {words:?}");
+            crate::wait::until(&what, || supervisor.logged(words) >= times).await;
+        }
+    }
+
     /// Asks all supervisors to end, one after the other; their exit codes.
     pub async fn end(&mut self) -> Vec<Option<i32>> {
         let mut codes = Vec::new();
--- a/crates/supervisor/src/cli.rs
+++ b/crates/supervisor/src/cli.rs
@@ -27,12 +27,54 @@
     Check(Check),
     /// Look at what supervisors recorded.
     Records(Records),
+    /// Check, test and try rules in the hook language.
+    Plugin(Plugin),
     /// Show the fleet on the terminal, from records: now, or at any moment of the past.
     Console(Console),
     /// Write one HTML page that tells the course of an incident.
     Report(Report),
 }
 
+/// What to do with plug-ins.
+#[derive(Args, Debug)]
+pub struct Plugin {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: PluginCommand,
+}
+
+/// What can be done with plug-ins.
+#[derive(Debug, Subcommand)]
+pub enum PluginCommand {
+    /// Compile texts and show every fault with its place.
+    Check {
+        /// The texts.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Run the cases that texts carry; code 1 if one fails.
+    Test {
+        /// The texts.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Ask plug-ins what they would advise of a recorded fleet, turn by turn. Nothing comes of it.
+    Run {
+        /// The texts, in their order.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+        /// A directory of records.
+        #[arg(long, value_name = "DIR")]
+        records: PathBuf,
+        /// Begin at this moment, written as for `records list`; without it, at the last record.
+        #[arg(long, value_name = "TIME")]
+        at: Option<String>,
+        /// Seconds, which are turns.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=3600))]
+        turns: u32,
+    },
+}
+
 /// What to show.
 #[derive(Args, Debug)]
 pub struct Console {
--- a/crates/supervisor/src/main.rs
+++ b/crates/supervisor/src/main.rs
@@ -11,6 +11,7 @@
 mod lines;
 mod list;
 mod listener;
+mod plugins;
 mod recording;
 mod serve;
 mod servers;
@@ -67,6 +68,7 @@
         Command::Serve(_) => Ok(()),
         Command::Check(check) => tools::check(&check, &mut std::io::stdout().lock()),
         Command::Records(records) => tools::records(&records, &mut std::io::stdout().lock()),
+        Command::Plugin(plugin) => tools::plugin(&plugin, &mut std::io::stdout().lock()),
         Command::Console(console) => tools::console(&console),
         Command::Report(report) => tools::report(&report, &mut std::io::stdout().lock()),
     };
--- a/crates/supervisor/src/serve.rs
+++ b/crates/supervisor/src/serve.rs
@@ -15,6 +15,7 @@
 
 use crate::config::{self, Config, Reloaded, Source};
 use crate::hub::Hub;
+use crate::plugins::Plugins;
 use crate::recording::Book;
 use crate::servers::Servers;
 use crate::{clients, list, listener};
@@ -88,12 +89,16 @@
     if let Some((_, known)) = config.known {
         hub.report(known);
     }
+    let plugins = Rc::new(Plugins::new(operator.plugins.clone()));
+    if !plugins.is_none() {
+        plugins.load(&hub);
+    }
     let between = length(Micros::from_ms(config.tick_ms));
     // The first tick comes before the first connection is accepted: whoever gets an answer finds a supervisor that
     // has begun with the list it last had.
-    let ticking = tokio::task::spawn_local(ticks(hub.clone(), servers, between));
+    let ticking = tokio::task::spawn_local(ticks(hub.clone(), servers, plugins.clone(), between));
     let (moved, discovery) = watch::channel(config.discovery);
-    let reloading = tokio::task::spawn_local(reloads(hub.clone(), replaced, source, moved));
+    let reloading = tokio::task::spawn_local(reloads(hub.clone(), replaced, source, moved, plugins));
     let list = list::List::new(hub.clone(), discovery, index, on_request);
     let listing = tokio::task::spawn_local(list.run());
     let serving = listener::serve(hub.clone(), listener, config.limits.sockets, silence);
@@ -115,7 +120,13 @@
 }
 
 /// Reads the configuration anew at each SIGHUP; signals that come while it reads count as one more.
-async fn reloads(hub: Rc<Hub>, mut replaced: Signal, mut source: Source, moved: watch::Sender<SocketAddr>) {
+async fn reloads(
+    hub: Rc<Hub>,
+    mut replaced: Signal,
+    mut source: Source,
+    moved: watch::Sender<SocketAddr>,
+    plugins: Rc<Plugins>,
+) {
     let note = |taken, detail| hub.note(Kind::Reloaded(pb::Reloaded { taken, detail }));
     while replaced.recv().await.is_some() {
         match source.reload() {
@@ -130,12 +141,15 @@
                 note(false, fault.to_string());
             }
         }
+        if !plugins.is_none() {
+            plugins.load(&hub);
+        }
     }
 }
 
 /// Ticks the engine when a timer is due or reports wait, no denser than the settings allow, and hands out what
 /// is due then.
-async fn ticks(hub: Rc<Hub>, servers: Rc<Servers>, between: Duration) {
+async fn ticks(hub: Rc<Hub>, servers: Rc<Servers>, plugins: Rc<Plugins>, between: Duration) {
     let mut told = Instant::now();
     loop {
         let ticked = Instant::now();
@@ -143,6 +157,7 @@
         let next = hub.engine().tick(now);
         hand_out(&hub, &servers);
         hub.note_series();
+        plugins.turn(&hub);
         if told.elapsed() >= DROPPED_EVERY {
             told = Instant::now();
             let (reports, last) = hub.take_dropped();
--- a/crates/supervisor/src/tools.rs
+++ b/crates/supervisor/src/tools.rs
@@ -3,13 +3,17 @@
 use std::io::{BufWriter, Write};
 use std::path::{Path, PathBuf};
 
+use chutegrade_engine::Micros;
+use chutegrade_plugins::host::Host;
+use chutegrade_plugins::{cases, compile};
 use chutegrade_records::index::Query;
+use chutegrade_records::replay::{Picture, LOOK_BACK_US};
 use chutegrade_records::timeline::{is_event, verify, Event, Gap, Timeline};
 use chutegrade_records::{kind, text, Window};
 use serde_json::{json, Value};
 
-use crate::cli::{Check, Console, Form, List, Records, RecordsCommand, Report};
-use crate::{config, Fault};
+use crate::cli::{Check, Console, Form, List, Plugin, PluginCommand, Records, RecordsCommand, Report};
+use crate::{config, plugins, Fault};
 
 /// `check`: every fault on a line of its own; an error if there is one.
 pub fn check(check: &Check, out: &mut impl Write) -> Result<(), Fault> {
@@ -84,6 +88,121 @@
     }
 }
 
+/// `plugin`.
+pub fn plugin(plugin: &Plugin, out: &mut impl Write) -> Result<(), Fault> {
+    match &plugin.command {
+        PluginCommand::Check { files } => check_plugins(files, out),
+        PluginCommand::Test { files } => test_plugins(files, out),
+        PluginCommand::Run { files, records, at, turns } => {
+            run_plugins(files, records, at.as_deref(), *turns, out)
+        }
+    }
+}
+
+fn check_plugins(files: &[PathBuf], out: &mut impl Write) -> Result<(), Fault> {
+    let mut wrong = 0;
+    for (name, text) in plugins::read(files)? {
+        match compile(&text) {
+            Ok(program) => {
+                let operations: usize = program.functions.iter().map(|function| function.code.len()).sum();
+                writeln!(
+                    out,
+                    "{name}: {} version {}, {operations} operations, sound",
+                    program.name, program.version
+                )?;
+            }
+            Err(faults) => {
+                wrong += faults.len();
+                for fault in faults {
+                    write!(out, "{}", fault.render(&name, &text))?;
+                }
+            }
+        }
+    }
+    match wrong {
+        0 => Ok(()),
+        1 => Err(Fault::Said("1 fault".to_string())),
+        more => Err(Fault::Said(format!("{more} faults"))),
+    }
+}
+
+fn test_plugins(files: &[PathBuf], out: &mut impl Write) -> Result<(), Fault> {
+    let (mut run, mut failed) = (0, 0);
+    for (name, text) in plugins::read(files)? {
+        let program = compile(&text).map_err(|faults| match faults.first() {
+            Some(fault) => Fault::Said(format!("{name}:{fault}")),
+            None => Fault::Said(format!("{name} cannot be read")),
+        })?;
+        for (case, outcome) in cases::run(&program) {
+            run += 1;
+            match outcome {
+                Ok(()) => writeln!(out, "{name}: {} ... ok", printable(&case))?,
+                Err(why) => {
+                    failed += 1;
+                    writeln!(out, "{name}: {} ... FAILED: {}", printable(&case), printable(&why))?;
+                }
+            }
+        }
+    }
+    writeln!(out, "{} cases, {failed} failed", run)?;
+    match failed {
+        0 => Ok(()),
+        _ => Err(Fault::Said(format!("{failed} of {run} cases failed"))),
+    }
+}
+
+fn run_plugins(
+    files: &[PathBuf],
+    records: &Path,
+    at: Option<&str>,
+    turns: u32,
+    out: &mut impl Write,
+) -> Result<(), Fault> {
+    let mut host = Host::default();
+    host.load(&plugins::read(files)?).map_err(|refused| match refused.first() {
+        Some(one) => Fault::Said(format!(
+            "{}:{}",
+            one.name,
+            one.faults.first().map(ToString::to_string).unwrap_or_default()
+        )),
+        None => Fault::Said("the plug-ins cannot be loaded".to_string()),
+    })?;
+    let timeline = Timeline::open(&[records.to_path_buf()]).map_err(said)?;
+    let last = timeline.span().map_or(0, |span| span.to_us);
+    let at = at.map_or(Ok(last), |text| text::parse_time(text, last)).map_err(said)?;
+    for turn in 0..i64::from(turns) {
+        let now = at.saturating_add(turn * 1_000_000);
+        let (events, _) = timeline.read(&Query::between(now.saturating_sub(LOOK_BACK_US), now));
+        let mut picture = Picture::default();
+        events.iter().for_each(|event| picture.apply(&event.record));
+        let mut zones: Vec<String> = picture.servers.values().map(|server| server.zone.clone()).collect();
+        zones.sort();
+        zones.dedup();
+        let inputs = plugins::recorded(&picture, &zones);
+        let given = host.turn(&inputs);
+        let advised = plugins::advised(&given.advice, &inputs, Micros(now));
+        writeln!(out, "{} {} servers", text::time(now), inputs.servers.len())?;
+        for (server, zone, class, factor) in &advised.factors {
+            let class = class.as_deref().unwrap_or("all classes");
+            writeln!(out, "  {} keeps {:.0} % for {class} from {zone}", printable(server), 100.0 * factor)?;
+        }
+        for (class, cap) in &advised.caps {
+            writeln!(out, "  {class} is capped at {:.0} %", 100.0 * cap)?;
+        }
+        for class in &advised.never {
+            writeln!(out, "  {class} is not tried again")?;
+        }
+        for (of, (reason, seconds)) in &given.advice.excluded {
+            let server = inputs.servers.get(*of as usize).map_or("", |server| &*server.name);
+            writeln!(out, "  {} is left out for {seconds} s: {}", printable(server), printable(reason))?;
+        }
+        for (name, word) in &given.words {
+            writeln!(out, "  {name}: {}", printable(&format!("{word:?}")))?;
+        }
+    }
+    Ok(())
+}
+
 /// `console`.
 pub fn console(console: &Console) -> Result<(), Fault> {
     let at = match &console.at {
