Plug-ins explain themselves: new advice with its line in the records, explain, formatter

Change: the host tells each piece of advice that is new or has ended, with the line that says so; chutegrade plugin explain SERVER DIR puts state, cause, standing advice and void tables together from records; chutegrade plugin format keeps line breaks and comments and writes spaces and indents by one rule.

--- a/crates/plugins/benches/machine.rs
+++ b/crates/plugins/benches/machine.rs
@@ -78,9 +78,18 @@
             (n.to_string(), text)
         })
         .collect();
-    let mut host = Host::default();
-    host.load(&hostile).expect("plug-ins");
-    c.bench_function("turn of 320 servers, 8 endless plug-ins", |b| b.iter(|| host.turn(&inputs)));
+    // Loaded anew for each turn: left alone for their faults they would cost nothing.
+    c.bench_function("first turn of 320 servers, 8 endless plug-ins", |b| {
+        b.iter_batched(
+            || {
+                let mut host = Host::default();
+                host.load(&hostile).expect("plug-ins");
+                host
+            },
+            |mut host| host.turn(&inputs),
+            criterion::BatchSize::PerIteration,
+        )
+    });
     c.bench_function("load of the audit rule", |b| b.iter(|| compile(AUDIT)));
 }
 
--- a/crates/plugins/src/host.rs
+++ b/crates/plugins/src/host.rs
@@ -23,6 +23,8 @@
 const PAUSE: (u64, u64) = (10, 640);
 /// Sound turns after which earlier faults are forgotten.
 const FORGIVEN_AFTER: u32 = 600;
+/// New and ended pieces of advice of one plug-in that are told in a turn.
+const WORDS_MOST: usize = 16;
 /// Longest exclusion that one answer gives, in seconds: it is asked again each turn.
 const EXCLUDED_MOST: f64 = 3600.0;
 
@@ -48,6 +50,10 @@
     Noted(String),
     /// It faulted; its advice of this turn is dropped.
     Faulted(Stopped),
+    /// It advises something that it did not advise in its last sound turn, and on which line.
+    Advises(String, u32),
+    /// It does not advise that any more.
+    Ends(String),
     /// It is left alone for so many turns.
     Paused(u64),
     /// Its advice differs from an earlier one's on the same thing; which of them holds.
@@ -63,6 +69,9 @@
     pub words: Vec<(Arc<str>, Word)>,
 }
 
+/// What a plug-in advises, in words, with the line that says so.
+type Said = BTreeMap<String, u32>;
+
 #[derive(Debug)]
 struct Loaded {
     name: Arc<str>,
@@ -72,6 +81,7 @@
     sound: u32,
     pause: u64,
     until: u64,
+    said: Said,
 }
 
 /// All plug-ins, in their order.
@@ -139,7 +149,16 @@
         let same = older.filter(|older| older.program.digest == program.digest);
         let (faults, pause, until) =
             same.map_or((0, PAUSE.0, 0), |older| (older.faults, older.pause, older.until));
-        Loaded { name: program.name.as_str().into(), program, memory, faults, sound: 0, pause, until }
+        Loaded {
+            name: program.name.as_str().into(),
+            program,
+            memory,
+            faults,
+            sound: 0,
+            pause,
+            until,
+            said: Said::new(),
+        }
     }
 
     /// How many are loaded.
@@ -164,17 +183,19 @@
             let before = one.memory.clone();
             let asked = ask(one, &mut self.machine, inputs, self.turn);
             match asked {
-                Ok((advice, notes)) => {
+                Ok((advice, notes, said)) => {
                     one.sound = one.sound.saturating_add(1);
                     if one.sound >= FORGIVEN_AFTER {
                         (one.faults, one.pause) = (0, PAUSE.0);
                     }
                     turn.words
                         .extend(notes.into_iter().map(|note| (Arc::clone(&one.name), Word::Noted(note))));
+                    tell(&mut turn, one, said);
                     compose(&mut turn, &one.name, advice, inputs);
                 }
                 Err(stopped) => {
                     one.memory = before;
+                    tell(&mut turn, one, Said::new());
                     one.sound = 0;
                     one.faults += 1;
                     turn.words.push((Arc::clone(&one.name), Word::Faulted(stopped)));
@@ -192,13 +213,23 @@
     }
 }
 
-/// Asks one plug-in.
+/// Tells what is new in a plug-in's advice, and what has ended.
+fn tell(turn: &mut Turn, one: &mut Loaded, said: Said) {
+    let word = |word| (Arc::clone(&one.name), word);
+    let new = said.iter().filter(|(text, _)| !one.said.contains_key(*text));
+    turn.words.extend(new.take(WORDS_MOST).map(|(text, line)| word(Word::Advises(text.clone(), *line))));
+    let ended = one.said.keys().filter(|text| !said.contains_key(*text));
+    turn.words.extend(ended.take(WORDS_MOST).map(|text| word(Word::Ends(text.clone()))));
+    one.said = said;
+}
+
+/// Asks one plug-in: its advice, its notes, and its advice in words.
 fn ask(
     one: &mut Loaded,
     machine: &mut Machine,
     inputs: &Inputs,
     turn: u64,
-) -> Result<(Advice, Vec<String>), Stopped> {
+) -> Result<(Advice, Vec<String>, Said), Stopped> {
     let Loaded { program, memory, .. } = one;
     memory.fade();
     let steered: Vec<u32> = places(&program.steers, inputs);
@@ -212,7 +243,7 @@
         inputs.servers.len() * zones * groups.len().max(1) + inputs.servers.len() + 2 * inputs.classes.len();
     let mut fuel = FUEL_TURN.0 * answers as u64 + FUEL_TURN.1;
     let mut context = Context::new(program, inputs, memory, &mut fuel, turn);
-    let mut advice = Advice::default();
+    let (mut advice, mut said) = (Advice::default(), Said::new());
     if let Some(hook) = program.hooks.turn {
         machine.call(program, hook, &[], &mut context, FUEL.1)?;
     }
@@ -229,6 +260,10 @@
                     let value = machine.call(program, hook, &values, &mut context, FUEL.0)?;
                     let Value::Number(factor) = value else { continue };
                     if factor < 1.0 {
+                        said.insert(
+                            keeps(inputs, server, *group, program.by_zone.then_some(&name), factor),
+                            machine.line,
+                        );
                         let all = if program.by_zone { zone..zone + 1 } else { 0..inputs.zones.len() };
                         for zone in all {
                             let zone = u32::try_from(zone).unwrap_or(u32::MAX);
@@ -245,6 +280,10 @@
             let value = machine.call(program, hook, &[Value::Class(class)], &mut context, FUEL.0)?;
             if let Value::Number(cap) = value {
                 if cap < 1.0 {
+                    said.insert(
+                        format!("{} is capped at {:.0} %", class_name(inputs, class), 100.0 * cap),
+                        machine.line,
+                    );
                     advice.caps.insert(class, cap.max(0.0));
                 }
             }
@@ -254,6 +293,7 @@
         for class in class_places() {
             let value = machine.call(program, hook, &[Value::Class(class)], &mut context, FUEL.0)?;
             if value == Value::Bool(false) {
+                said.insert(format!("{} is not tried again", class_name(inputs, class)), machine.line);
                 advice.never.push(class);
             }
         }
@@ -264,12 +304,30 @@
             machine.call(program, hook, &[Value::Server(server)], &mut context, FUEL.0)?;
             if let Some((reason, seconds)) = context.effects.excluded.take() {
                 if seconds > 0.0 {
+                    said.insert(
+                        format!("{} is left out: {reason}", server_name(inputs, server)),
+                        machine.line,
+                    );
                     advice.excluded.insert(server, (reason, seconds.min(EXCLUDED_MOST)));
                 }
             }
         }
     }
-    Ok((advice, context.effects.notes))
+    Ok((advice, context.effects.notes, said))
+}
+
+fn server_name(inputs: &Inputs, at: u32) -> &str {
+    inputs.servers.get(at as usize).map_or("", |server| &server.name)
+}
+
+fn class_name(inputs: &Inputs, at: u32) -> &str {
+    inputs.classes.get(at as usize).map_or("", |class| &class.name)
+}
+
+fn keeps(inputs: &Inputs, server: u32, class: Option<u32>, zone: Option<&Arc<str>>, factor: f64) -> String {
+    let class = class.map_or("all classes", |class| class_name(inputs, class));
+    let from = zone.map(|zone| format!(" from {zone}")).unwrap_or_default();
+    format!("{} keeps {:.0} % for {class}{from}", server_name(inputs, server), 100.0 * factor.max(0.0))
 }
 
 fn places(names: &[String], inputs: &Inputs) -> Vec<u32> {
--- a/crates/plugins/src/lib.rs
+++ b/crates/plugins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod code;
 pub mod compile;
 pub mod diagnostics;
+pub mod format;
 pub mod host;
 pub mod inputs;
 pub mod lex;
--- a/crates/plugins/src/machine.rs
+++ b/crates/plugins/src/machine.rs
@@ -373,6 +373,8 @@
     stack: Vec<Value>,
     locals: Vec<Value>,
     loops: Vec<(Value, usize)>,
+    /// The line of the text on which the last call returned.
+    pub line: u32,
 }
 
 impl Machine {
@@ -549,6 +551,7 @@
                     let value = self.pop()?;
                     self.locals.truncate(base);
                     self.loops.truncate(loops);
+                    self.line = function.lines.get(at - 1).copied().unwrap_or(0);
                     return Ok(value);
                 }
             }
--- a/crates/plugins/tests/hostile.rs
+++ b/crates/plugins/tests/hostile.rs
@@ -173,7 +173,13 @@
     assert_eq!(heard, 60);
 }
 
-fn sound() -> Vec<Program> {
+/// Programs that the compiler made, once for all tests.
+fn sound() -> &'static [Program] {
+    static SOUND: std::sync::OnceLock<Vec<Program>> = std::sync::OnceLock::new();
+    SOUND.get_or_init(compiled)
+}
+
+fn compiled() -> Vec<Program> {
     let mut all: Vec<Program> =
         ADVISED.iter().chain(&STOPPED).map(|body| compile(&text(body)).expect("a program")).collect();
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../plugins");
--- a/crates/plugins/tests/language.rs
+++ b/crates/plugins/tests/language.rs
@@ -115,6 +115,19 @@
     assert!(turn.words.iter().any(|(name, word)| &**name == "two" && differs(word)), "{:?}", turn.words);
 }
 
+/// What operators ask first: which rule says so, and where.
+#[test]
+fn new_and_ended_advice_is_told_with_its_line() {
+    let text = head("state n = 0\nhook turn() { n = n + 1 }\nhook cap(class) {\n    if n == 2 {\n        return 0.5\n    }\n    return 1\n}");
+    let mut host = host(&[&text]);
+    let mut words = || host.turn(&inputs()).words.into_iter().map(|(_, word)| word).collect::<Vec<_>>();
+    assert_eq!(words(), []);
+    let told = |class: &str| Word::Advises(format!("{class} is capped at 50 %"), 6);
+    assert_eq!(words(), [told("lookup"), told("order")]);
+    let ended = |class: &str| Word::Ends(format!("{class} is capped at 50 %"));
+    assert_eq!(words(), [ended("lookup"), ended("order")]);
+}
+
 #[test]
 fn advice_never_favours() {
     let text = head("hook factor(server, class, zone) { return 50 }\nhook cap(class) { return 7 }\nhook retry(class) { return true }");
--- a/crates/supervisor/src/cli.rs
+++ b/crates/supervisor/src/cli.rs
@@ -58,6 +58,26 @@
         #[arg(required = true, value_name = "FILE")]
         files: Vec<PathBuf>,
     },
+    /// Write texts anew with one rule for spaces and indents.
+    Format {
+        /// The texts.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+        /// Change nothing; code 1 if a text is written otherwise.
+        #[arg(long)]
+        check: bool,
+    },
+    /// Tell from records why a server has the weight that it has: its state and causes, and what plug-ins advise of it.
+    Explain {
+        /// The server.
+        server: String,
+        /// Directories of records: of one supervisor, or of several below.
+        #[arg(required = true, value_name = "DIR")]
+        directories: Vec<PathBuf>,
+        /// At this moment, written as for `records list`; without it, at the last record.
+        #[arg(long, value_name = "TIME")]
+        at: Option<String>,
+    },
     /// Ask plug-ins what they would advise of a recorded fleet, turn by turn. Nothing comes of it.
     Run {
         /// The texts, in their order.
--- a/crates/supervisor/src/plugins.rs
+++ b/crates/supervisor/src/plugins.rs
@@ -103,6 +103,8 @@
             let (what, text) = match word {
                 Word::Noted(text) => ("note", text),
                 Word::Faulted(stopped) => ("fault", stopped.to_string()),
+                Word::Advises(text, line) => ("advises", format!("{text}, by line {line}")),
+                Word::Ends(text) => ("ends", text),
                 Word::Paused(turns) => ("paused", format!("left alone for {turns} turns after faults")),
                 Word::Differs(text) => ("differs", text),
             };
--- a/crates/supervisor/src/tools.rs
+++ b/crates/supervisor/src/tools.rs
@@ -4,12 +4,13 @@
 use std::path::{Path, PathBuf};
 
 use chutegrade_engine::Micros;
+use chutegrade_plugins::format::format;
 use chutegrade_plugins::host::Host;
 use chutegrade_plugins::{cases, compile};
 use chutegrade_records::index::Query;
 use chutegrade_records::replay::{Picture, LOOK_BACK_US};
 use chutegrade_records::timeline::{is_event, verify, Event, Gap, Timeline};
-use chutegrade_records::{kind, text, Window};
+use chutegrade_records::{kind, text, Kind, Window};
 use serde_json::{json, Value};
 
 use crate::cli::{Check, Console, Form, List, Plugin, PluginCommand, Records, RecordsCommand, Report};
@@ -93,6 +94,10 @@
     match &plugin.command {
         PluginCommand::Check { files } => check_plugins(files, out),
         PluginCommand::Test { files } => test_plugins(files, out),
+        PluginCommand::Format { files, check } => format_plugins(files, *check, out),
+        PluginCommand::Explain { server, directories, at } => {
+            explain(server, directories, at.as_deref(), out)
+        }
         PluginCommand::Run { files, records, at, turns } => {
             run_plugins(files, records, at.as_deref(), *turns, out)
         }
@@ -151,6 +156,118 @@
     }
 }
 
+fn format_plugins(files: &[PathBuf], check: bool, out: &mut impl Write) -> Result<(), Fault> {
+    let mut other = 0;
+    for (path, (name, text)) in files.iter().zip(plugins::read(files)?) {
+        let formatted = format(&text).map_err(|faults| {
+            Fault::Said(format!("{name}:{}", faults.first().map(ToString::to_string).unwrap_or_default()))
+        })?;
+        if formatted == text {
+            continue;
+        }
+        other += 1;
+        if check {
+            writeln!(out, "{name} is written otherwise")?;
+        } else {
+            let draft = path.with_extension("draft");
+            let written = std::fs::write(&draft, formatted).and_then(|()| std::fs::rename(&draft, path));
+            written.map_err(|fault| Fault::Said(format!("{name} cannot be written: {fault}")))?;
+            writeln!(out, "{name} formatted")?;
+        }
+    }
+    match (check, other) {
+        (true, 1..) => Err(Fault::Said(format!("{other} of {} texts are written otherwise", files.len()))),
+        _ => Ok(()),
+    }
+}
+
+/// How far back records are looked at for what plug-ins advise of a server, in microseconds: a day.
+const EXPLAINED_US: i64 = 86_400_000_000;
+
+fn explain(
+    server: &str,
+    directories: &[PathBuf],
+    at: Option<&str>,
+    out: &mut impl Write,
+) -> Result<(), Fault> {
+    let timeline = Timeline::open(directories).map_err(said)?;
+    let last = timeline.span().map_or(0, |span| span.to_us);
+    let at = at.map_or(Ok(last), |text| text::parse_time(text, last)).map_err(said)?;
+    let (events, _) = timeline.read(&Query::between(at.saturating_sub(EXPLAINED_US), at));
+    let mut known = 0;
+    for supervisor in &timeline.supervisors {
+        let own: Vec<&Event> = events.iter().filter(|event| event.supervisor == supervisor.name).collect();
+        let mut picture = Picture::default();
+        own.iter().for_each(|event| picture.apply(&event.record));
+        let Some(of) = picture.servers.get(server) else { continue };
+        known += 1;
+        let (life, state) = (text::life(of.life), text::state(of.state));
+        writeln!(
+            out,
+            "{}: {} is {life}, {state}: score {:.2}, errors {:.2}, latency {:.2}, weight {:.2}, warmth {:.0} %{}",
+            printable(&supervisor.name),
+            printable(server),
+            of.score,
+            of.errors,
+            of.latency,
+            of.weight,
+            100.0 * of.warmth,
+            if of.shut { ", shut out of all tables" } else { "" }
+        )?;
+        let about = |event: &&&Event| event.record.kind.as_ref().and_then(kind::server) == Some(server);
+        if let Some(event) = own.iter().rev().find(about) {
+            writeln!(out, "  last: {} {}", text::time(event.at_us), printable(&event.line()))?;
+        }
+        for (plugin, advice) in standing(&own, server) {
+            writeln!(out, "  plug-in {}: {}", printable(plugin), printable(advice))?;
+        }
+        for table in void(&own) {
+            writeln!(out, "  advice on table {table} is void: it would leave too little")?;
+        }
+    }
+    match known {
+        0 => Err(Fault::Said(format!("no supervisor knows a server {server:?} at {}", text::time(at)))),
+        _ => Ok(()),
+    }
+}
+
+/// What plug-ins advise of a server and have not ended, with the plug-in's name.
+fn standing<'a>(events: &[&'a Event], server: &str) -> Vec<(&'a str, &'a str)> {
+    let begins = format!("{server} ");
+    let mut advised: Vec<(&str, &str)> = Vec::new();
+    for event in events {
+        match &event.record.kind {
+            Some(Kind::Started(_)) => advised.clear(),
+            Some(Kind::PluginLoaded(of)) => advised.retain(|(name, _)| *name != of.name),
+            Some(Kind::PluginSaid(of)) if of.text.starts_with(&begins) => match of.what.as_str() {
+                "advises" => advised.push((&of.name, &of.text)),
+                "ends" => advised.retain(|(name, text)| *name != of.name || !text.starts_with(&of.text)),
+                _ => {}
+            },
+            _ => {}
+        }
+    }
+    advised
+}
+
+/// Tables on which advice is void.
+fn void(events: &[&Event]) -> std::collections::BTreeSet<u32> {
+    let mut tables = std::collections::BTreeSet::new();
+    for event in events {
+        match &event.record.kind {
+            Some(Kind::Started(_)) => tables.clear(),
+            Some(Kind::AdviceVoid(of)) if of.void => {
+                tables.insert(of.table);
+            }
+            Some(Kind::AdviceVoid(of)) => {
+                tables.remove(&of.table);
+            }
+            _ => {}
+        }
+    }
+    tables
+}
+
 fn run_plugins(
     files: &[PathBuf],
     records: &Path,
--- a/crates/supervisor/tests/plugins.rs
+++ b/crates/supervisor/tests/plugins.rs
@@ -89,6 +89,13 @@
     let (file, kept) = (file.display().to_string(), stage.records().display().to_string());
     let (code, said, _) = tools.tool(&["plugin", "run", &file, "--records", &format!("{kept}/n0")]).await;
     assert!(code == Some(0) && said.contains("s-b4 keeps 0 % for order from a"), "{said}");
+    let (code, said, _) = tools.tool(&["plugin", "explain", "s-b4", &kept]).await;
+    assert!(code == Some(0) && said.contains("n1: s-b4 is in service, full"), "{said}");
+    assert!(said.contains("plug-in audit: s-b4 keeps 0 % for order, by line 3"), "{said}");
+    let (_, said, _) = tools.tool(&["plugin", "explain", "s-a2", &kept]).await;
+    assert!(said.contains("s-a2 is in service") && !said.contains("plug-in"), "its advice has ended: {said}");
+    let (code, _, said) = tools.tool(&["plugin", "explain", "nobody", &kept]).await;
+    assert!(code == Some(1) && said.contains("no supervisor knows a server \"nobody\""), "{said}");
     let (code, said, _) = tools.tool(&["plugin", "check", &file]).await;
     assert!(code == Some(0) && said.contains("audit version 2"), "{said}");
 }
@@ -173,6 +180,13 @@
         out.contains("half ... ok") && out.contains("all ... FAILED: cap answered 0.5, expected 1"),
         "{out}"
     );
+    let (code, out, _) = program.tool(&["plugin", "format", "--check", &wrong, &failing]).await;
+    assert!(code == Some(0) && out.is_empty(), "{out}");
+    std::fs::write(&wrong, "plugin  \"w\" version 1 host 1\nhook turn(){\nnote(\"x\")\n}").expect("a text");
+    assert_eq!(program.tool(&["plugin", "format", "--check", &wrong]).await.0, Some(1));
+    assert_eq!(program.tool(&["plugin", "format", &wrong]).await.0, Some(0));
+    let formatted = std::fs::read_to_string(&wrong).expect("the text");
+    assert_eq!(formatted, "plugin \"w\" version 1 host 1\nhook turn() {\n    note(\"x\")\n}\n");
     let (code, _, said) = program.tool(&["plugin", "check", "/nowhere.chute"]).await;
     assert!(code == Some(1) && said.contains("/nowhere.chute"), "{said}");
 }
