--- a/crates/plugins/src/code.rs
+++ b/crates/plugins/src/code.rs
@@ -130,6 +130,14 @@
     Zones,
 }
 
+impl Field {
+    /// Whether the fleet has it, and no server or class.
+    pub fn is_of_fleet(self) -> bool {
+        use Field::*;
+        matches!(self, Strain | Refused | Waiting | Streams | Demand | Turn | Servers | Classes | Zones)
+    }
+}
+
 /// Fields by the type that has them and their name; `fleet` has type nothing.
 pub const FIELDS: [(Type, &str, Field, Type); 22] = [
     (Type::Server, "name", Field::ServerName, Type::Text),
@@ -284,3 +292,15 @@
     /// Its own cases.
     pub cases: Vec<Case>,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn fields_know_whose_they_are() {
+        for (of, name, field, _) in FIELDS {
+            assert_eq!(field.is_of_fleet(), of == Type::Nothing, "{name}");
+        }
+    }
+}
--- a/crates/plugins/src/machine.rs
+++ b/crates/plugins/src/machine.rs
@@ -481,8 +481,7 @@
                     context.memory.0.get_mut(usize::from(state)).ok_or(Trap::Unsound)?.put(key, value)?;
                 }
                 Op::Get(field) => {
-                    let fleet =
-                        FIELDS.iter().any(|(of, _, known, _)| *known == field && *of == Type::Nothing);
+                    let fleet = field.is_of_fleet();
                     let of = if fleet { None } else { Some(self.pop()?) };
                     self.stack.push(context.field(field, of.as_ref())?);
                 }
--- a/crates/policy/tests/advice.rs
+++ b/crates/policy/tests/advice.rs
@@ -195,29 +195,14 @@
     fn rules_hold_under_arbitrary_advice(rounds in prop::collection::vec(prop::collection::vec(event_strategy(), 0..6), 1..40)) {
         let settings = settings();
         let mut world = World::new(settings.clone(), 8, 6);
-        let mut open: BTreeSet<u32> = (0..8).collect();
-        let mut cold: BTreeSet<u32> = BTreeSet::new();
+        let mut listed = Roster::new(8);
         for events in rounds {
-            for event in &events {
-                match event {
-                    Event::Members(_, entries) => {
-                        for entry in entries {
-                            let (id, serves) = (entry.server.0, entry.life == Lifecycle::InService);
-                            if serves { open.insert(id) } else { open.remove(&id) };
-                            if entry.started.is_some() { cold.insert(id) } else { cold.remove(&id) };
-                        }
-                    }
-                    Event::Joined { proxy, .. } | Event::Left(proxy) => {
-                        world.bound.remove(proxy);
-                    }
-                    _ => {}
-                }
-            }
+            listed.take(&events, &mut world);
             world.send(&events);
             world.run(1, &[]);
             let age = world.now - ms(1_003_000);
-            let is_cold = |id: &u32| cold.contains(id) && age < settings.cold_for + ms(500);
-            let warm: Vec<u32> = open.iter().copied().filter(|id| !is_cold(id)).collect();
+            let is_cold = |id: &u32| listed.cold.contains(id) && age < settings.cold_for + ms(500);
+            let warm: Vec<u32> = listed.open.iter().copied().filter(|id| !is_cold(id)).collect();
             // The tables in use: for each class of each proxy, the one that it was bound to last.
             let last = |bound: &Vec<(TableId, ClassSet)>, class| bound.iter().rev().find(|(_, of)| of.has(class)).map(|b| b.0);
             let tables: BTreeSet<TableId> =
@@ -229,7 +214,7 @@
                 let usable = |id: &ServerId| !world.shut.contains(id);
                 prop_assert!(warm.is_empty() || lines.keys().any(usable), "nobody to pick in {table:?}");
                 for id in lines.keys().filter(|id| usable(id)) {
-                    prop_assert!(open.contains(&id.0), "{id:?} left and keeps weight");
+                    prop_assert!(listed.open.contains(&id.0), "{id:?} left and keeps weight");
                 }
                 // A cold server's part: far under what makes it fall, with all of the fleet's work as demand.
                 let all: f64 = lines.iter().filter(|(id, _)| usable(id)).map(|line| line.1).sum();
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -257,3 +257,42 @@
 pub fn healthy(servers: u32, but: &[u32]) -> Vec<Event> {
     (0..servers).filter(|id| !but.contains(id)).map(|id| heard(id, 8.0, 0.0, 200.0)).collect()
 }
+
+/// What the test itself knows of the list: servers in service, and those that have started anew.
+pub struct Roster {
+    pub open: BTreeSet<u32>,
+    pub cold: BTreeSet<u32>,
+}
+
+impl Roster {
+    /// So many servers, all of them long running.
+    pub fn new(servers: u32) -> Self {
+        Roster { open: (0..servers).collect(), cold: BTreeSet::new() }
+    }
+
+    /// Takes in what is sent to a world, whose proxies that join or leave hold no table.
+    pub fn take(&mut self, events: &[Event], world: &mut World) {
+        for event in events {
+            match event {
+                Event::Members(_, entries) => {
+                    for entry in entries {
+                        let id = entry.server.0;
+                        let set = |set: &mut BTreeSet<u32>, holds: bool| {
+                            if holds {
+                                set.insert(id)
+                            } else {
+                                set.remove(&id)
+                            }
+                        };
+                        set(&mut self.open, entry.life == Lifecycle::InService);
+                        set(&mut self.cold, entry.started.is_some());
+                    }
+                }
+                Event::Joined { proxy, .. } | Event::Left(proxy) => {
+                    world.bound.remove(proxy);
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -1,8 +1,6 @@
 //! The five rules, each kept by one instance alone.
 
 mod common;
-use std::collections::BTreeSet;
-
 use chutegrade_policy::interface::*;
 use chutegrade_policy::policy::Policy;
 use common::*;
@@ -198,33 +196,18 @@
     fn rules_hold_over_random_events(rounds in prop::collection::vec(prop::collection::vec(event_strategy(), 0..6), 1..40)) {
         let settings = settings();
         let mut world = World::new(settings.clone(), 8, 6);
-        let mut open: BTreeSet<u32> = (0..8).collect();
-        let mut cold: BTreeSet<u32> = BTreeSet::new();
+        let mut listed = Roster::new(8);
         for events in rounds {
-            for event in &events {
-                match event {
-                    Event::Members(_, entries) => {
-                        for entry in entries {
-                            let (id, serves) = (entry.server.0, entry.life == Lifecycle::InService);
-                            if serves { open.insert(id) } else { open.remove(&id) };
-                            if entry.started.is_some() { cold.insert(id) } else { cold.remove(&id) };
-                        }
-                    }
-                    Event::Joined { proxy, .. } | Event::Left(proxy) => {
-                        world.bound.remove(proxy);
-                    }
-                    _ => {}
-                }
-            }
+            listed.take(&events, &mut world);
             world.actions.clear();
             world.send(&events);
             let table: Vec<u32> = world.tables[&TableId(0)].keys().map(|server| server.0).collect();
             for server in 0..8 {
-                prop_assert!(open.contains(&server) || world.weight(server) == 0.0, "{server} left and keeps weight");
+                prop_assert!(listed.open.contains(&server) || world.weight(server) == 0.0, "{server} left and keeps weight");
             }
             // What has just become warm is named by the next tick.
             let age = world.now - ms(1_003_000) - ms(500);
-            let warm = open.iter().any(|id| !cold.contains(id) || age > settings.cold_for);
+            let warm = listed.open.iter().any(|id| !listed.cold.contains(id) || age > settings.cold_for);
             prop_assert!(!warm || table.iter().any(|server| world.weight(*server) > 0.0), "nobody to pick");
             prop_assert!(world.retries[&1] <= Retry::Unrun);
             for weight in world.tables.values().flat_map(|table| table.values()) {
--- a/crates/supervisor/src/plugins.rs
+++ b/crates/supervisor/src/plugins.rs
@@ -135,16 +135,15 @@
         servers: fleet.servers.iter().map(server).collect(),
         classes: engine.classes().iter().zip(levels).map(class).collect(),
         zones: zones.iter().map(|zone| zone.as_str().into()).collect(),
-        fleet: Fleet {
-            strain: gauge.strain,
-            refused: gauge.refused,
-            waiting: gauge.waiting,
-            streams: f64::from(gauge.streams),
-            demand: engine.demand(),
-        },
+        fleet: fleet_in(&gauge, engine.demand()),
     }
 }
 
+fn fleet_in(gauge: &pb::Gauge, demand: f64) -> Fleet {
+    let streams = f64::from(gauge.streams);
+    Fleet { strain: gauge.strain, refused: gauge.refused, waiting: gauge.waiting, streams, demand }
+}
+
 fn server(of: &pb::Server) -> Server {
     Server {
         name: of.name.as_str().into(),
@@ -179,13 +178,7 @@
         servers: picture.servers.iter().map(server).collect(),
         classes: picture.classes.iter().zip(levels).map(class).collect(),
         zones: zones.iter().map(|zone| zone.as_str().into()).collect(),
-        fleet: Fleet {
-            strain: gauge.strain,
-            refused: gauge.refused,
-            waiting: gauge.waiting,
-            streams: f64::from(gauge.streams),
-            demand: 0.0,
-        },
+        fleet: fleet_in(&gauge, 0.0),
     }
 }
 
