--- a/crates/records/src/clock.rs
+++ b/crates/records/src/clock.rs
@@ -6,7 +6,9 @@
 use crate::pb::{record::Kind, Record};
 
 /// Kinds of which all supervisors learn alike, by number.
-pub const SHARED: [u32; 1] = [21];
+pub const SHARED: [u32; 2] = [21, SERVER_STARTED];
+/// The kind whose own time is the list's and not the supervisor's, so that no difference of clocks is in it.
+pub const SERVER_STARTED: u32 = 22;
 /// News that both tell of, from which a difference is believed.
 const PAIRS_LEAST: usize = 3;
 /// A difference below this is the list's own lateness, in microseconds.
@@ -17,14 +19,17 @@
 
 /// What one supervisor learned of the list, and when.
 #[derive(Clone, Debug, Default)]
-pub struct Marks(BTreeMap<(String, i32), Vec<i64>>);
+pub struct Marks(BTreeMap<(String, Option<i32>), Vec<i64>>);
 
 impl Marks {
     /// Takes in a record.
     pub fn add(&mut self, record: &Record) {
-        if let Some(Kind::LifeChanged(of)) = &record.kind {
-            self.0.entry((of.server.clone(), of.life)).or_default().push(record.at_us);
-        }
+        let news = match &record.kind {
+            Some(Kind::LifeChanged(of)) => (of.server.clone(), Some(of.life)),
+            Some(Kind::ServerStarted(of)) => (of.server.clone(), None),
+            _ => return,
+        };
+        self.0.entry(news).or_default().push(record.learned_us);
     }
 }
 
@@ -62,7 +67,7 @@
         let mut marks = Marks::default();
         for (server, at_us) in news {
             let of = LifeChanged { server: server.to_string(), life: 1, ..Default::default() };
-            marks.add(&Record { at_us: *at_us, kind: Some(Kind::LifeChanged(of)), ..Record::default() });
+            marks.add(&Record { learned_us: *at_us, kind: Some(Kind::LifeChanged(of)), ..Record::default() });
         }
         marks
     }
--- a/crates/records/src/course.rs
+++ b/crates/records/src/course.rs
@@ -415,7 +415,7 @@
         let at_us = second * SECOND;
         let number = crate::kind::number(&kind);
         let record = Record { seq: 1, at_us, learned_us: at_us, kind: Some(kind) };
-        Event { supervisor: by.into(), incarnation: 1, record, number, newer: None, at_us }
+        Event { supervisor: by.into(), incarnation: 1, record, number, newer: None, at_us, ahead_us: 0 }
     }
 
     fn state(server: &str, state: State) -> Kind {
--- a/crates/records/src/timeline.rs
+++ b/crates/records/src/timeline.rs
@@ -29,6 +29,8 @@
     pub newer: Option<Vec<u8>>,
     /// When it happened by the common clock, in Unix microseconds.
     pub at_us: i64,
+    /// How far its supervisor's clock was ahead of the common one, in microseconds.
+    pub ahead_us: i64,
 }
 
 impl Event {
@@ -45,7 +47,7 @@
 
     /// When it was learned by the common clock.
     pub fn learned_us(&self) -> i64 {
-        self.at_us.saturating_add(self.record.learned_us.saturating_sub(self.record.at_us))
+        self.record.learned_us.saturating_sub(self.ahead_us)
     }
 }
 
@@ -252,6 +254,7 @@
                             number,
                             newer,
                             at_us,
+                            ahead_us: 0,
                         });
                     }
                 }
@@ -406,7 +409,10 @@
             let (from_us, to_us) = (shifted(query.from_us), shifted(query.to_us));
             let its = Query { from_us, to_us, ..query.clone() };
             found.extend(supervisor.each(&its, |mut event| {
-                event.at_us = event.at_us.saturating_sub(ahead);
+                event.ahead_us = ahead;
+                if event.number != clock::SERVER_STARTED {
+                    event.at_us = event.at_us.saturating_sub(ahead);
+                }
                 events.push(event);
             }));
         }
--- a/crates/records/tests/damage.rs
+++ b/crates/records/tests/damage.rs
@@ -231,6 +231,8 @@
         .collect();
     assert_eq!(order, ["s-0", "s-0", "s-1", "s-1", "s-2", "s-2", "s-3", "s-3", "s-4", "s-4"]);
     assert!(events.windows(2).all(|pair| pair[0].at_us <= pair[1].at_us));
+    let late: Vec<i64> = events.iter().map(|event| event.learned_us() - event.at_us).collect();
+    assert!(late.iter().all(|late| *late == 0), "what was learned at once is not told as late: {late:?}");
 }
 
 fn options(directory: &Path) -> Options {
--- a/crates/standins/src/truth.rs
+++ b/crates/standins/src/truth.rs
@@ -93,7 +93,10 @@
                 Item::Header(header) => header.encode_to_vec(),
                 Item::Record { read, .. } => {
                     let Record { at_us, learned_us, .. } = read.record;
-                    let (at_us, learned_us) = (at_us + by_us, learned_us + by_us);
+                    // A server's start has the list's time, whatever the supervisor's clock says.
+                    let own =
+                        if matches!(read.record.kind, Some(Kind::ServerStarted(_))) { 0 } else { by_us };
+                    let (at_us, learned_us) = (at_us + own, learned_us + by_us);
                     Record { at_us, learned_us, ..read.record }.encode_to_vec()
                 }
                 Item::Damaged(_) | Item::Torn(_) => continue,
