Log lines of decisions carry kind and server; plugin run tells operations and lines

Need: logs should have the field names of the records, and a rule's trial should show what it cost and which line spoke.

Change: decisions' log lines carry kind and, where it is about one, server, also as JSON; plugin run tells for each turn the operations of each rule, and new and ended advice with its line.

--- a/crates/plugins/src/host.rs
+++ b/crates/plugins/src/host.rs
@@ -67,6 +67,8 @@
     pub advice: Advice,
     /// What is worth a record, by the plug-in's name.
     pub words: Vec<(Arc<str>, Word)>,
+    /// Operations that each plug-in took, one that faulted too.
+    pub spent: Vec<(Arc<str>, u64)>,
 }
 
 /// What a plug-in advises, in words, with the line that says so.
@@ -181,7 +183,9 @@
             }
             // What a faulty turn did to its memory is undone.
             let before = one.memory.clone();
-            let asked = ask(one, &mut self.machine, inputs, self.turn);
+            let mut spent = 0;
+            let asked = ask(one, &mut self.machine, inputs, self.turn, &mut spent);
+            turn.spent.push((Arc::clone(&one.name), spent));
             match asked {
                 Ok((advice, notes, said)) => {
                     one.sound = one.sound.saturating_add(1);
@@ -229,6 +233,7 @@
     machine: &mut Machine,
     inputs: &Inputs,
     turn: u64,
+    spent: &mut u64,
 ) -> Result<(Advice, Vec<String>, Said), Stopped> {
     let Loaded { program, memory, .. } = one;
     memory.fade();
@@ -241,8 +246,22 @@
     };
     let answers =
         inputs.servers.len() * zones * groups.len().max(1) + inputs.servers.len() + 2 * inputs.classes.len();
-    let mut fuel = FUEL_TURN.0 * answers as u64 + FUEL_TURN.1;
-    let mut context = Context::new(program, inputs, memory, &mut fuel, turn);
+    let full = FUEL_TURN.0 * answers as u64 + FUEL_TURN.1;
+    let mut fuel = full;
+    let asked = questions(program, machine, inputs, (memory, &mut fuel, turn), (steered, groups, zones));
+    *spent = full - fuel;
+    asked
+}
+
+/// Asks a plug-in's hooks, one after the other.
+fn questions(
+    program: &Program,
+    machine: &mut Machine,
+    inputs: &Inputs,
+    (memory, fuel, turn): (&mut Memory, &mut u64, u64),
+    (steered, groups, zones): (Vec<u32>, Vec<Option<u32>>, usize),
+) -> Result<(Advice, Vec<String>, Said), Stopped> {
+    let mut context = Context::new(program, inputs, memory, fuel, turn);
     let (mut advice, mut said) = (Advice::default(), Said::new());
     if let Some(hook) = program.hooks.turn {
         machine.call(program, hook, &[], &mut context, FUEL.1)?;
--- a/crates/supervisor/src/serve.rs
+++ b/crates/supervisor/src/serve.rs
@@ -8,7 +8,7 @@
 
 use chutegrade_engine::{Engine, Micros, ReportSource};
 use chutegrade_operator::{LogFormat, Operator};
-use chutegrade_records::{pb, text, Kind};
+use chutegrade_records::{kind, pb, text, Kind};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -196,7 +196,8 @@
         let noted = hub.engine().pick_note(now);
         let Some(noted) = noted else { break };
         if noted.logged {
-            tracing::info!("{}", text::line(&noted.kind));
+            let (kind, server) = (kind::name(kind::number(&noted.kind)), kind::server(&noted.kind));
+            tracing::info!(kind, server, "{}", text::line(&noted.kind));
         }
         hub.note_at(noted.at, noted.learned, noted.kind);
     }
--- a/crates/supervisor/src/tools.rs
+++ b/crates/supervisor/src/tools.rs
@@ -5,7 +5,7 @@
 
 use chutegrade_engine::Micros;
 use chutegrade_plugins::format::format;
-use chutegrade_plugins::host::Host;
+use chutegrade_plugins::host::{Host, Word};
 use chutegrade_plugins::{cases, compile};
 use chutegrade_records::index::Query;
 use chutegrade_records::replay::{Picture, LOOK_BACK_US};
@@ -313,8 +313,19 @@
             let server = inputs.servers.get(*of as usize).map_or("", |server| &*server.name);
             writeln!(out, "  {} is left out for {seconds} s: {}", printable(server), printable(reason))?;
         }
+        for (name, spent) in &given.spent {
+            writeln!(out, "  {name} took {spent} operations")?;
+        }
         for (name, word) in &given.words {
-            writeln!(out, "  {name}: {}", printable(&format!("{word:?}")))?;
+            let text = match word {
+                Word::Advises(text, line) => format!("says from now on, by line {line}: {text}"),
+                Word::Ends(text) => format!("says no more: {text}"),
+                Word::Noted(text) => format!("notes: {text}"),
+                Word::Faulted(stopped) => format!("faulted: {stopped}"),
+                Word::Paused(turns) => format!("is left alone for {turns} turns"),
+                Word::Differs(text) => format!("differs: {text}"),
+            };
+            writeln!(out, "  {name} {}", printable(&text))?;
         }
     }
     Ok(())
--- a/crates/supervisor/tests/plugins.rs
+++ b/crates/supervisor/tests/plugins.rs
@@ -89,6 +89,7 @@
     let (file, kept) = (file.display().to_string(), stage.records().display().to_string());
     let (code, said, _) = tools.tool(&["plugin", "run", &file, "--records", &format!("{kept}/n0")]).await;
     assert!(code == Some(0) && said.contains("s-b4 keeps 0 % for order from a"), "{said}");
+    assert!(said.contains("audit says from now on, by line 3") && said.contains("operations"), "{said}");
     let (code, said, _) = tools.tool(&["plugin", "explain", "s-b4", &kept]).await;
     assert!(code == Some(0) && said.contains("n1: s-b4 is in service, full"), "{said}");
     assert!(said.contains("plug-in audit: s-b4 keeps 0 % for order, by line 3"), "{said}");
