--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -316,8 +316,8 @@
         }
     }
 
-    /// Takes advice, no oftener than it may change. Danger: a rule that swings fills the channel and starves the
-    /// lines of servers that fail. In a saturated fleet all are needed, and none is left out or spared.
+    /// Takes advice, no oftener than it may change. Danger: a rule that swings fills the channel and starves
+    /// the lines of servers that fail. In a saturated fleet all are needed, and none is left out or spared.
     fn heed(&mut self, now: Micros, advice: &Advice) {
         if self.advised.taken.is_some_and(|taken| now - taken < ADVICE.0) {
             return;
@@ -975,8 +975,8 @@
     settings.cross_price > 0.0 && settings.instances == 1
 }
 
-/// The tables without slices: for each part of the fleet and zone, one more where classes stay at home, and one
-/// for each class that is steered apart.
+/// The tables without slices: for each part of the fleet and zone, one more where classes stay at home, and
+/// one for each class that is steered apart.
 fn schemes(settings: &Settings, parts: usize, first: u16, apart: ClassSet) -> Vec<Scheme> {
     let mut groups: Vec<(bool, ClassSet)> = Vec::new();
     for home_only in [false, true] {
