True order and printable text in one place each

Cause: the reread found the order of events written in timeline.rs and again in the report, and the same cleaning of peers' text in the tools and the console.

Change: timeline::in_order and text::printable serve both; nothing behaves otherwise.

--- a/crates/console/src/view.rs
+++ b/crates/console/src/view.rs
@@ -5,6 +5,7 @@
 
 use chutegrade_records::index::{Query, STALLED_US};
 use chutegrade_records::replay::{Picture, LOOK_BACK_US};
+use chutegrade_records::text::printable;
 use chutegrade_records::timeline::{gauge, is_event};
 use chutegrade_records::{kind, text, Event, Gap, Timeline, Window};
 
@@ -72,11 +73,6 @@
     pub gaps: Vec<Gap>,
 }
 
-/// Text without what moves a terminal's cursor.
-fn printable(text: &str) -> String {
-    text.chars().map(|c| if c.is_control() { '\u{fffd}' } else { c }).collect()
-}
-
 fn row(event: &Event) -> Row {
     let trouble = event.record.kind.as_ref().is_some_and(kind::is_trouble);
     let late = event.learned_us().saturating_sub(event.at_us);
--- a/crates/records/src/text.rs
+++ b/crates/records/src/text.rs
@@ -135,6 +135,11 @@
     }
 }
 
+/// Text from a name that a peer gave, without what moves a terminal's cursor.
+pub fn printable(text: &str) -> String {
+    text.chars().map(|c| if c.is_control() { '\u{fffd}' } else { c }).collect()
+}
+
 /// A figure as short as it can be without loss below a hundredth.
 pub fn figure(value: f64) -> String {
     let text = format!("{value:.2}");
--- a/crates/records/src/timeline.rs
+++ b/crates/records/src/timeline.rs
@@ -416,10 +416,7 @@
                 events.push(event);
             }));
         }
-        events.sort_by(|a, b| {
-            let key = |e: &Event| (e.at_us, e.learned_us(), e.incarnation, e.record.seq);
-            key(a).cmp(&key(b)).then_with(|| a.supervisor.cmp(&b.supervisor))
-        });
+        in_order(&mut events);
         let window =
             Window { from_us: query.from_us.unwrap_or(i64::MIN), to_us: query.to_us.unwrap_or(i64::MAX) };
         let mut gaps = self.gaps(window);
@@ -538,6 +535,14 @@
     Ok(verdict)
 }
 
+/// Sorts events into true order: by when they happened on the common clock, then as learned, then as written.
+pub fn in_order(events: &mut [Event]) {
+    events.sort_by(|a, b| {
+        let key = |e: &Event| (e.at_us, e.learned_us(), e.incarnation, e.record.seq);
+        key(a).cmp(&key(b)).then_with(|| a.supervisor.cmp(&b.supervisor))
+    });
+}
+
 /// Whether an event is one that a person asks for, not one of a series.
 pub fn is_event(event: &Event) -> bool {
     !event.record.kind.as_ref().is_some_and(kind::is_series)
--- a/crates/report/src/gather.rs
+++ b/crates/report/src/gather.rs
@@ -7,7 +7,7 @@
 use chutegrade_records::course::{Course, Follower};
 use chutegrade_records::index::{Query, STALLED_US};
 use chutegrade_records::replay::LOOK_BACK_US;
-use chutegrade_records::timeline::is_event;
+use chutegrade_records::timeline::{in_order, is_event};
 use chutegrade_records::{kind, pb, Event, Gap, Kind, Timeline, Window};
 
 /// Length of the slices in which records are read, in microseconds: a few thousand records of a large fleet.
@@ -210,10 +210,7 @@
     fn finish(self, timeline: &Timeline, gaps: Vec<Gap>, found: Vec<Gap>) -> Findings {
         let (mut events, mut gaps) = (self.troubles, gaps);
         events.extend(self.others);
-        events.sort_by(|a, b| {
-            let key = |e: &Event| (e.at_us, e.learned_us(), e.incarnation, e.record.seq);
-            key(a).cmp(&key(b)).then_with(|| a.supervisor.cmp(&b.supervisor))
-        });
+        in_order(&mut events);
         gaps.extend(found);
         gaps.sort_by_key(|gap| (gap.from_us, gap.to_us));
         gaps.dedup();
--- a/crates/supervisor/src/tools.rs
+++ b/crates/supervisor/src/tools.rs
@@ -9,6 +9,7 @@
 use chutegrade_plugins::{cases, compile};
 use chutegrade_records::index::Query;
 use chutegrade_records::replay::{Picture, LOOK_BACK_US};
+use chutegrade_records::text::printable;
 use chutegrade_records::timeline::{is_event, verify, Event, Gap, Timeline};
 use chutegrade_records::{kind, text, Kind, Window};
 use serde_json::{json, Value};
@@ -424,11 +425,6 @@
     }
 }
 
-/// Text from a name that a peer gave, without what moves a terminal's cursor.
-fn printable(text: &str) -> String {
-    text.chars().map(|c| if c.is_control() { '\u{fffd}' } else { c }).collect()
-}
-
 fn write_event(event: &Event, form: Form, out: &mut impl Write) -> std::io::Result<()> {
     let (at, learned) = (text::time(event.at_us), text::time(event.learned_us()));
     let (by, start, seq) = (&event.supervisor, event.incarnation, event.record.seq);
