--- a/crates/console/tests/frames.rs
+++ b/crates/console/tests/frames.rs
@@ -55,7 +55,7 @@
                 server("s-b1", "b", out, 1.0),
                 server("s-b2", "b", pb::State::Full, 0.5),
             ];
-            kinds.push((second, Kind::Fleet(pb::Fleet { servers })));
+            kinds.push((second, Kind::Fleet(pb::Fleet { servers, ..pb::Fleet::default() })));
         }
     }
     let at = |second| (from_s + second) * SECOND;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -426,7 +426,10 @@
         let named = |(id, of): (ServerId, Standing)| {
             notes::server(self.server_name(id), self.names.zone_name(of.entry.zone), &of)
         };
-        pb::Fleet { servers: self.policy.standings().map(named).collect() }
+        pb::Fleet {
+            servers: self.policy.standings().map(named).collect(),
+            classes: self.classes.iter().map(|class| class.name.clone()).collect(),
+        }
     }
 
     /// The names of zones and classes.
--- a/crates/records/src/replay.rs
+++ b/crates/records/src/replay.rs
@@ -169,6 +169,9 @@
     /// A record of all servers tells how things stand, also those of which an event was lost.
     fn fleet(&mut self, fleet: &pb::Fleet, at_us: i64) {
         let before = std::mem::take(&mut self.servers);
+        if !fleet.classes.is_empty() {
+            self.classes.clone_from(&fleet.classes);
+        }
         for of in &fleet.servers {
             let known = before.get(&of.name);
             let (state, life) = (of.state(), of.life());
@@ -220,7 +223,7 @@
             zone: "a".into(),
             ..Default::default()
         });
-        picture.apply(&record(5, Kind::Fleet(pb::Fleet { servers: all.into() })));
+        picture.apply(&record(5, Kind::Fleet(pb::Fleet { servers: all.into(), ..pb::Fleet::default() })));
         let (one, two) = (&picture.servers["s-1"], &picture.servers["s-2"]);
         assert_eq!((one.state, one.since_us, two.since_us), (State::Full, 5, 0));
         let gone = pb::LifeChanged { server: "s-1".into(), life: Life::Gone.into(), ..Default::default() };
@@ -228,6 +231,18 @@
         assert_eq!(picture.servers.len(), 1);
     }
 
+    /// Danger: a moment long after the start, read without it, would know no class, and rules asked of it say nothing.
+    #[test]
+    fn a_moment_long_after_the_start_knows_the_classes() {
+        let mut picture = Picture::default();
+        let classes = vec!["x".to_string(), "y".to_string()];
+        let fleet = pb::Fleet { classes: classes.clone(), ..pb::Fleet::default() };
+        picture.apply(&record(30_000_000, Kind::Fleet(fleet)));
+        assert_eq!(picture.classes, classes);
+        picture.apply(&record(50_000_000, Kind::Fleet(pb::Fleet::default())));
+        assert_eq!(picture.classes, classes, "a record of an earlier version takes nothing away");
+    }
+
     /// Danger: a start that knows nothing yet would show what the one before held.
     #[test]
     fn a_start_begins_with_nothing() {
