--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -358,9 +358,10 @@
                     self.tables.withdraw(*server, *out);
                 }
                 Action::Admit { table, classes, level, retry } => {
+                    let strain = if self.notes.recording { self.policy.figures().strain } else { 0.0 };
                     for class in self.tables.positions(*classes) {
                         self.tables.admit(*table, class, *level, *retry);
-                        self.note_level(now, *table, class, *level, *retry);
+                        self.note_level((now, strain), *table, class, *level, *retry);
                     }
                 }
                 Action::Bind { .. } => sent.binds += 1,
@@ -396,12 +397,18 @@
         self.names.name(id).map_or_else(|| id.0.to_string(), |name| name.to_string())
     }
 
-    fn note_level(&mut self, now: Micros, table: Option<TableId>, class: usize, level: f64, retry: Retry) {
+    fn note_level(
+        &mut self,
+        (now, strain): (Micros, f64),
+        table: Option<TableId>,
+        class: usize,
+        level: f64,
+        retry: Retry,
+    ) {
         if self.notes.recording {
             let class =
                 self.names.class_name(class).map_or_else(|| class.to_string(), |name| name.to_string());
             let (table, retry) = (table.map_or(0, |table| u32::from(table.0)), notes::retry(retry));
-            let strain = self.policy.figures().strain;
             self.notes.add(now, now, Kind::Level(pb::Level { class, level, retry, table, strain }), false);
         }
     }
--- a/crates/plugins/src/host.rs
+++ b/crates/plugins/src/host.rs
@@ -69,6 +69,8 @@
     pub words: Vec<(Arc<str>, Word)>,
     /// Operations that each plug-in took, one that faulted too.
     pub spent: Vec<(Arc<str>, u64)>,
+    /// Calls about the watched server, by plug-in, in words.
+    pub traces: Vec<(Arc<str>, Vec<String>)>,
 }
 
 /// What a plug-in advises, in words, with the line that says so.
@@ -92,6 +94,7 @@
     loaded: Vec<Loaded>,
     machine: Machine,
     turn: u64,
+    watched: Option<String>,
 }
 
 /// The name, version and digest of a text that was taken.
@@ -173,10 +176,27 @@
         self.loaded.is_empty()
     }
 
+    /// From now on calls about this server leave a trace, operation by operation.
+    pub fn watch(&mut self, server: &str) {
+        self.watched = Some(server.to_string());
+    }
+
+    /// Whether the next turn asks nobody: all are left alone.
+    pub fn rests(&self) -> bool {
+        self.loaded.iter().all(|one| one.until > self.turn)
+    }
+
+    /// Lets a turn pass in which nobody is asked.
+    pub fn pass(&mut self) {
+        self.turn += 1;
+    }
+
     /// Asks all plug-ins once.
     pub fn turn(&mut self, inputs: &Inputs) -> Turn {
         self.turn += 1;
         let mut turn = Turn::default();
+        let place = |name: &String| inputs.servers.iter().position(|server| *server.name == **name);
+        self.machine.watched = self.watched.as_ref().and_then(place).and_then(|at| u32::try_from(at).ok());
         for one in &mut self.loaded {
             if one.until >= self.turn {
                 continue;
@@ -186,6 +206,9 @@
             let mut spent = 0;
             let asked = ask(one, &mut self.machine, inputs, self.turn, &mut spent);
             turn.spent.push((Arc::clone(&one.name), spent));
+            let traces = std::mem::take(&mut self.machine.traces);
+            let told = traces.iter().map(|trace| (Arc::clone(&one.name), trace.lines(&one.program, inputs)));
+            turn.traces.extend(told);
             match asked {
                 Ok((advice, notes, said)) => {
                     one.sound = one.sound.saturating_add(1);
--- a/crates/plugins/src/machine.rs
+++ b/crates/plugins/src/machine.rs
@@ -367,6 +367,83 @@
     }
 }
 
+/// Operations of one call that a trace keeps; the rest are counted.
+pub const STEPS_MOST: usize = 500;
+
+/// One operation of a traced call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// The function, by its place in the program.
+    pub function: usize,
+    /// The line of the text.
+    pub line: u32,
+    /// The operation.
+    pub op: Op,
+    /// What lay on top of the stack before it.
+    pub top: Option<Value>,
+}
+
+/// A call, operation by operation.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Trace {
+    /// The function that was called.
+    pub function: usize,
+    /// With what.
+    pub values: Vec<Value>,
+    /// The first operations, as they came.
+    pub steps: Vec<Step>,
+    /// Operations beyond those.
+    pub more: u64,
+    /// How it ended.
+    pub answer: Option<Result<Value, Stopped>>,
+}
+
+impl Trace {
+    /// The call in words: its head, a line for each operation, its answer.
+    pub fn lines(&self, program: &Program, inputs: &Inputs) -> Vec<String> {
+        let name = |function: usize| program.functions.get(function).map_or("", |of| of.name.as_str());
+        let shown = |value: &Value| shown(value, inputs);
+        let values: Vec<String> = self.values.iter().map(shown).collect();
+        let mut lines = vec![format!("{}({})", name(self.function), values.join(", "))];
+        for step in &self.steps {
+            let within = match step.function == self.function {
+                true => String::new(),
+                false => format!("{}, ", name(step.function)),
+            };
+            let top = step.top.as_ref().map(|top| format!(" on {}", shown(top))).unwrap_or_default();
+            lines.push(format!("  {within}line {}: {:?}{top}", step.line, step.op));
+        }
+        if self.more > 0 {
+            lines.push(format!("  and {} operations more", self.more));
+        }
+        match &self.answer {
+            Some(Ok(value)) => lines.push(format!("  = {}", shown(value))),
+            Some(Err(stopped)) => lines.push(format!("  stopped: {stopped}")),
+            None => {}
+        }
+        lines
+    }
+}
+
+/// A value as the text would write it; servers and classes by name.
+fn shown(value: &Value, inputs: &Inputs) -> String {
+    let server = |at: &u32| inputs.servers.get(*at as usize).map_or("?", |server| &server.name);
+    let class = |at: &u32| inputs.classes.get(*at as usize).map_or("?", |class| &class.name);
+    match value {
+        Value::Nothing => "nothing".to_string(),
+        Value::Number(number) => number.to_string(),
+        Value::Bool(of) => of.to_string(),
+        Value::Text(text) => format!("{text:?}"),
+        Value::Server(at) => format!("server {}", server(at)),
+        Value::Class(at) => format!("class {}", class(at)),
+        Value::Set(all) => format!("a set of {}", all.len()),
+        Value::Servers => "fleet.servers".to_string(),
+        Value::Classes => "fleet.classes".to_string(),
+        Value::Zones => "fleet.zones".to_string(),
+        Value::Range(from, to) => format!("range({from}, {to})"),
+    }
+}
+
 /// Stack, locals and loops of all functions under way; kept from call to call, so that a call asks for no memory.
 #[derive(Default)]
 pub struct Machine {
@@ -375,6 +452,10 @@
     loops: Vec<(Value, usize)>,
     /// The line of the text on which the last call returned.
     pub line: u32,
+    /// Calls about this server, by its place in the inputs, leave a trace.
+    pub watched: Option<u32>,
+    /// The traces that were left.
+    pub traces: Vec<Trace>,
 }
 
 impl Machine {
@@ -394,14 +475,36 @@
         context.arena = 0;
         let mut left = fuel;
         let mut place = (usize::from(function), 0);
-        self.run(program, usize::from(function), context, &mut left, &mut place).map_err(|trap| {
+        let watched = self.watched.is_some_and(|server| values.contains(&Value::Server(server)));
+        let own = usize::from(function);
+        let ran = if watched {
+            self.traces.push(Trace { function: own, values: values.to_vec(), ..Trace::default() });
+            self.run::<true>(program, own, context, &mut left, &mut place)
+        } else {
+            self.run::<false>(program, own, context, &mut left, &mut place)
+        };
+        let ended = ran.map_err(|trap| {
             let stopped = program.functions.get(place.0);
             Stopped {
                 trap,
                 function: stopped.map(|function| function.name.clone()).unwrap_or_default(),
                 line: stopped.and_then(|function| function.lines.get(place.1)).copied().unwrap_or(0),
             }
-        })
+        });
+        if let Some(trace) = self.traces.last_mut().filter(|_| watched) {
+            trace.answer = Some(ended.clone());
+        }
+        ended
+    }
+
+    fn step(&mut self, function: usize, line: u32, op: Op) {
+        let top = self.stack.last().cloned();
+        let Some(trace) = self.traces.last_mut() else { return };
+        if trace.steps.len() < STEPS_MOST {
+            trace.steps.push(Step { function, line, op, top });
+        } else {
+            trace.more += 1;
+        }
     }
 
     fn pop(&mut self) -> Result<Value, Trap> {
@@ -430,7 +533,7 @@
     }
 
     /// Runs one function; those that it calls lie before it, so that the depth is bounded by their number.
-    fn run(
+    fn run<const TRACED: bool>(
         &mut self,
         program: &Program,
         own: usize,
@@ -449,6 +552,9 @@
             *place = (own, at);
             context.burn(fuel, 1)?;
             let op = *function.code.get(at).ok_or(Trap::Unsound)?;
+            if TRACED {
+                self.step(own, function.lines.get(at).copied().unwrap_or(0), op);
+            }
             at += 1;
             match op {
                 Op::Const(constant) => {
@@ -520,7 +626,7 @@
                     }
                 }
                 Op::Call(function) => {
-                    let value = self.run(program, usize::from(function), context, fuel, place)?;
+                    let value = self.run::<TRACED>(program, usize::from(function), context, fuel, place)?;
                     self.stack.push(value);
                 }
                 Op::Do(builtin) => {
--- a/crates/plugins/tests/language.rs
+++ b/crates/plugins/tests/language.rs
@@ -35,6 +35,29 @@
     }
 }
 
+/// Danger: a trace that changes what it shows, or that has no end.
+#[test]
+fn a_trace_tells_each_operation_and_changes_nothing() {
+    let text = head(
+        "fn half(x: number) -> number { return x / 2 }\n\
+         hook factor(server, class, zone) { if server.name == \"s-2\" { return half(0.5) } return 1 }\n\
+         hook exclude(server) { if server.name == \"s-2\" { for n in range(0, 700) { } } }",
+    );
+    let (mut plain, mut watching) = (host(&[&text]), host(&[&text]));
+    watching.watch("s-2");
+    let (one, other) = (plain.turn(&inputs()), watching.turn(&inputs()));
+    assert_eq!((&one.advice, &one.words, &one.spent), (&other.advice, &other.words, &other.spent));
+    assert!(one.traces.is_empty());
+    let told: Vec<&Vec<String>> = other.traces.iter().map(|(_, lines)| lines).collect();
+    assert_eq!(told.len(), 2, "one of each hook, of that server alone");
+    assert!(told[0][0].starts_with("factor(server s-2"), "{:?}", told[0]);
+    assert!(told[0].iter().any(|line| line.contains("half, line 2: Div on 2")), "{:?}", told[0]);
+    assert_eq!(told[0].last().map(String::as_str), Some("  = 0.25"), "{:#?}", told);
+    assert!(told[1].iter().any(|line| line.ends_with("operations more")), "{:?}", told[1].last());
+    watching.watch("nobody");
+    assert!(watching.turn(&inputs()).traces.is_empty());
+}
+
 #[test]
 fn the_plug_ins_of_the_repository_hold_their_own_cases() {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../plugins");
--- a/crates/records/src/replay.rs
+++ b/crates/records/src/replay.rs
@@ -53,6 +53,24 @@
     }
 }
 
+impl From<&pb::Server> for Server {
+    fn from(of: &pb::Server) -> Self {
+        Server {
+            zone: of.zone.clone(),
+            state: of.state(),
+            life: of.life(),
+            score: of.score,
+            errors: of.errors,
+            latency: of.latency,
+            weight: of.weight,
+            warmth: of.warmth,
+            shut: of.shut,
+            failing: false,
+            since_us: 0,
+        }
+    }
+}
+
 impl Server {
     /// Whether requests go there as usual.
     pub fn is_well(&self) -> bool {
@@ -177,19 +195,8 @@
             let (state, life) = (of.state(), of.life());
             let same = known.filter(|known| (known.state, known.life) == (state, life));
             let since_us = same.map_or(if known.is_some() { at_us } else { 0 }, |known| known.since_us);
-            let server = Server {
-                zone: of.zone.clone(),
-                state,
-                life,
-                score: of.score,
-                errors: of.errors,
-                latency: of.latency,
-                weight: of.weight,
-                warmth: of.warmth,
-                shut: of.shut,
-                failing: known.is_some_and(|known| known.failing),
-                since_us,
-            };
+            let failing = known.is_some_and(|known| known.failing);
+            let server = Server { failing, since_us, ..Server::from(of) };
             self.servers.insert(of.name.clone(), server);
         }
     }
--- a/crates/supervisor/src/cli.rs
+++ b/crates/supervisor/src/cli.rs
@@ -92,6 +92,9 @@
         /// Seconds, which are turns.
         #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=3600))]
         turns: u32,
+        /// Show every operation of the calls about this server.
+        #[arg(long, value_name = "SERVER")]
+        trace: Option<String>,
     },
 }
 
--- a/crates/supervisor/src/main.rs
+++ b/crates/supervisor/src/main.rs
@@ -60,12 +60,8 @@
         return serve::main(operator.map(PathBuf::from).as_deref());
     }
     let cli = Cli::parse();
-    let command = cli.command.unwrap_or(Command::Serve(cli.serve));
-    if let Command::Serve(serve) = command {
-        return serve::main(serve.operator.as_deref());
-    }
-    let done = match command {
-        Command::Serve(_) => Ok(()),
+    let done = match cli.command.unwrap_or(Command::Serve(cli.serve)) {
+        Command::Serve(serve) => return serve::main(serve.operator.as_deref()),
         Command::Check(check) => tools::check(&check, &mut std::io::stdout().lock()),
         Command::Records(records) => tools::records(&records, &mut std::io::stdout().lock()),
         Command::Plugin(plugin) => tools::plugin(&plugin, &mut std::io::stdout().lock()),
--- a/crates/supervisor/src/serve.rs
+++ b/crates/supervisor/src/serve.rs
@@ -154,10 +154,11 @@
     loop {
         let ticked = Instant::now();
         let now = hub.clock.now();
+        // Before the tick, which carries what they advise to the decisions.
+        plugins.turn(&hub);
         let next = hub.engine().tick(now);
         hand_out(&hub, &servers);
         hub.note_series();
-        plugins.turn(&hub);
         if told.elapsed() >= DROPPED_EVERY {
             told = Instant::now();
             let (reports, last) = hub.take_dropped();
--- a/crates/supervisor/src/tools.rs
+++ b/crates/supervisor/src/tools.rs
@@ -99,8 +99,8 @@
         PluginCommand::Explain { server, directories, at } => {
             explain(server, directories, at.as_deref(), out)
         }
-        PluginCommand::Run { files, records, at, turns } => {
-            run_plugins(files, records, at.as_deref(), *turns, out)
+        PluginCommand::Run { files, records, at, turns, trace } => {
+            run_plugins(files, records, at.as_deref(), *turns, trace.as_deref(), out)
         }
     }
 }
@@ -274,9 +274,11 @@
     records: &Path,
     at: Option<&str>,
     turns: u32,
+    trace: Option<&str>,
     out: &mut impl Write,
 ) -> Result<(), Fault> {
     let mut host = Host::default();
+    trace.into_iter().for_each(|server| host.watch(server));
     host.load(&plugins::read(files)?).map_err(|refused| match refused.first() {
         Some(one) => Fault::Said(format!(
             "{}:{}",
@@ -296,9 +298,12 @@
         let mut zones: Vec<String> = picture.servers.values().map(|server| server.zone.clone()).collect();
         zones.sort();
         zones.dedup();
-        let inputs = plugins::recorded(&picture, &zones);
+        let inputs = chutegrade_advice::recorded(&picture, &zones);
+        if let Some(server) = trace.filter(|server| !picture.servers.contains_key(*server)) {
+            return Err(Fault::Said(format!("no server {server:?} is known at {}", text::time(now))));
+        }
         let given = host.turn(&inputs);
-        let advised = plugins::advised(&given.advice, &inputs, Micros(now));
+        let advised = chutegrade_advice::advised(&given.advice, &inputs, Micros(now));
         writeln!(out, "{} {} servers", text::time(now), inputs.servers.len())?;
         for (server, zone, class, factor) in &advised.factors {
             let class = class.as_deref().unwrap_or("all classes");
@@ -314,6 +319,11 @@
             let server = inputs.servers.get(*of as usize).map_or("", |server| &*server.name);
             writeln!(out, "  {} is left out for {seconds} s: {}", printable(server), printable(reason))?;
         }
+        for (name, lines) in &given.traces {
+            for line in lines {
+                writeln!(out, "  {name} | {}", printable(line))?;
+            }
+        }
         for (name, spent) in &given.spent {
             writeln!(out, "  {name} took {spent} operations")?;
         }
