--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,8 +5,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use miette::Diagnostic as _;
-use prost_reflect::{DescriptorPool, DynamicMessage};
+use chutegrade_textproto::find;
+pub use chutegrade_textproto::Place;
 
 /// The types of the schema, as generated.
 #[allow(missing_docs)]
@@ -35,15 +35,6 @@
 const KEEP_HOURS: u64 = 168;
 const BUDGET: (u64, u64) = (500, 64);
 
-/// Where a fault is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Place {
-    /// The line, from 1.
-    pub line: usize,
-    /// The column, from 1.
-    pub column: usize,
-}
-
 /// One thing that is wrong with the file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -114,25 +105,11 @@
     read(path, &text)
 }
 
-fn place(text: &str, offset: usize) -> Place {
-    let before = text.get(..offset.min(text.len())).unwrap_or(text);
-    let line = before.matches('\n').count() + 1;
-    let column = before.rsplit('\n').next().map_or(0, |last| last.chars().count()) + 1;
-    Place { line, column }
-}
-
 /// Reads a text, as of a file with this name.
 pub fn read(path: &Path, text: &str) -> Result<Operator, Vec<Fault>> {
     let fault = |place, text| Fault { path: path.to_path_buf(), place, text };
-    let schema = DescriptorPool::decode(SCHEMA).ok().and_then(|pool| pool.get_message_by_name(MESSAGE));
-    let Some(schema) = schema else { return Err(vec![fault(None, "the schema is missing".to_string())]) };
-    let parsed = DynamicMessage::parse_text_format(schema, text).map_err(|wrong| {
-        let offset = wrong.labels().and_then(|mut labels| labels.next()).map(|label| label.offset());
-        // What ends too early has no offset: it is at the end.
-        vec![fault(Some(place(text, offset.unwrap_or(text.len()))), sentence(&wrong.to_string()))]
-    })?;
-    let file: pb::Operator =
-        parsed.transcode_to().map_err(|wrong| vec![fault(None, sentence(&wrong.to_string()))])?;
+    let file: pb::Operator = chutegrade_textproto::parse(SCHEMA, MESSAGE, text)
+        .map_err(|wrong| vec![fault(wrong.place, wrong.text)])?;
     let mut faults = Vec::new();
     let operator = check(&file, &mut |field, said| faults.push(fault(find(text, field), said)));
     if faults.is_empty() {
@@ -142,30 +119,6 @@
     }
 }
 
-/// One line, whatever the library says.
-fn sentence(text: &str) -> String {
-    text.split_whitespace().collect::<Vec<_>>().join(" ")
-}
-
-/// Where a field is given: its name as a word of its own, outside comments and strings.
-fn find(text: &str, field: &str) -> Option<Place> {
-    let mut offset = 0;
-    for line in text.split_inclusive('\n') {
-        let code = line.split(['#', '"', '\'']).next().unwrap_or_default();
-        let word = |c: char| c.is_alphanumeric() || c == '_';
-        let found = code.match_indices(field).find(|(at, _)| {
-            let before = code.get(..*at).and_then(|text| text.chars().next_back());
-            let after = code.get(at + field.len()..).and_then(|text| text.chars().next());
-            !before.is_some_and(word) && !after.is_some_and(word)
-        });
-        if let Some((at, _)) = found {
-            return Some(place(text, offset + at));
-        }
-        offset += line.len();
-    }
-    None
-}
-
 fn check(file: &pb::Operator, fault: &mut impl FnMut(&str, String)) -> Operator {
     let log = match file.log.as_ref().map(pb::Log::format) {
         Some(pb::log::Format::Json) => LogFormat::Json,
