--- a/crates/engine/src/streams.rs
+++ b/crates/engine/src/streams.rs
@@ -98,6 +98,10 @@
 pub(crate) struct Streams {
     proxies: BTreeMap<ProxyId, Joined>,
     by_stream: HashMap<StreamId, ProxyId>,
+    /// Proxies that use a table: most orders concern one table, and few of many proxies use it.
+    by_table: BTreeMap<TableId, BTreeSet<ProxyId>>,
+    /// Proxies that this turn's orders concern.
+    touched: BTreeSet<ProxyId>,
     reached: BTreeSet<StreamId>,
 }
 
@@ -114,6 +118,15 @@
         if let Some(old) = self.proxies.insert(proxy, joined) {
             self.by_stream.remove(&old.stream);
             self.reached.remove(&old.stream);
+            self.unbind(proxy, &old);
+        }
+    }
+
+    fn unbind(&mut self, proxy: ProxyId, joined: &Joined) {
+        for table in joined.tables.values() {
+            if let Some(users) = self.by_table.get_mut(table) {
+                users.remove(&proxy);
+            }
         }
     }
 
@@ -130,7 +143,9 @@
     pub fn leave(&mut self, stream: StreamId) -> Option<ProxyId> {
         let proxy = self.by_stream.remove(&stream)?;
         self.reached.remove(&stream);
-        self.proxies.remove(&proxy);
+        if let Some(joined) = self.proxies.remove(&proxy) {
+            self.unbind(proxy, &joined);
+        }
         Some(proxy)
     }
 
@@ -138,22 +153,19 @@
     pub fn apply(&mut self, action: &Action, all: &Tables) -> u32 {
         match action {
             Action::Line { table, server, weight } => {
-                self.each(|joined| joined.line(*table, *server, *weight, all));
+                self.users(*table, |joined| joined.line(*table, *server, *weight, all));
             }
-            Action::Clear(table) => self.each(|joined| joined.clear(*table, all)),
+            Action::Clear(table) => self.users(*table, |joined| joined.clear(*table, all)),
             Action::Bind { proxy, table, classes } => {
-                let classes = all.positions(*classes);
-                if let Some(joined) = self.proxies.get_mut(proxy) {
-                    joined.bind(*table, &classes, all);
-                }
-            }
-            Action::Withdraw { server, out } => {
-                let each = self.proxies.values_mut();
-                return each.map(|joined| u32::from(joined.withdraw(*server, *out, all))).sum();
+                self.bind(*proxy, *table, &all.positions(*classes), all)
             }
+            Action::Withdraw { server, out } => return self.withdraw(*server, *out, all),
             Action::Admit { table, classes, .. } => {
                 for class in all.positions(*classes) {
-                    self.each(|joined| joined.level(*table, class, all));
+                    match table {
+                        Some(of) => self.users(*of, |joined| joined.level(*table, class, all)),
+                        None => self.each(|joined| joined.level(None, class, all)),
+                    }
                 }
             }
             _ => {}
@@ -161,18 +173,59 @@
         0
     }
 
+    fn bind(&mut self, proxy: ProxyId, table: TableId, classes: &[usize], all: &Tables) {
+        let Some(joined) = self.proxies.get_mut(&proxy) else { return };
+        let before: Vec<TableId> =
+            classes.iter().filter_map(|class| joined.tables.get(class).copied()).collect();
+        joined.bind(table, classes, all);
+        for old in before.iter().filter(|old| joined.on(**old).is_empty()) {
+            if let Some(users) = self.by_table.get_mut(old) {
+                users.remove(&proxy);
+            }
+        }
+        self.by_table.entry(table).or_default().insert(proxy);
+        self.touched.insert(proxy);
+    }
+
+    fn withdraw(&mut self, server: ServerId, out: bool, all: &Tables) -> u32 {
+        let mut concerned = 0;
+        for (proxy, joined) in &mut self.proxies {
+            if joined.withdraw(server, out, all) {
+                self.touched.insert(*proxy);
+                concerned += 1;
+            }
+        }
+        concerned
+    }
+
     /// How many streams have something to write.
     pub fn reached(&self) -> usize {
         self.reached.len()
     }
 
     fn each(&mut self, apply: impl FnMut(&mut Joined)) {
+        self.touched.extend(self.proxies.keys());
         self.proxies.values_mut().for_each(apply);
     }
 
+    fn users(&mut self, table: TableId, mut apply: impl FnMut(&mut Joined)) {
+        let Some(users) = self.by_table.get(&table) else { return };
+        self.touched.extend(users);
+        for proxy in users {
+            if let Some(joined) = self.proxies.get_mut(proxy) {
+                apply(joined);
+            }
+        }
+    }
+
     /// Ends a turn: the proxies it reached, or all, get its mark, and their streams something to write.
     pub fn end_turn(&mut self, mark: Option<(u16, bool)>) {
-        for joined in self.proxies.values_mut() {
+        let mut concerned = std::mem::take(&mut self.touched);
+        if mark.is_some_and(|(_, everyone)| everyone) {
+            concerned.extend(self.proxies.keys());
+        }
+        for proxy in concerned {
+            let Some(joined) = self.proxies.get_mut(&proxy) else { continue };
             let touched = joined.draft.take_touched();
             if let Some((mark, _)) = mark.filter(|(_, everyone)| touched || *everyone) {
                 joined.draft.stamp(mark);
