Laboratory: paired runs on the fleet model, honest bars, search and shrinking, reports

Paired differences of the same seeds by Student's t and bootstrap, Holm's correction, looks whose chance of error is shared, runs needed told; results as JSON lines that outlive a kill, CSV, one HTML page with charts.

--- /dev/null
+++ b/crates/lab/src/hunt.rs
@@ -0,0 +1,291 @@
+//! The hunt: a search over troubles, their times and sizes, for the scenario on which a rule breaks or most is lost, and a
+//! shrinker that gives back the smallest one that still does.
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use rayon::prelude::*;
+
+use chutegrade_model::scenario::pb::{trouble::Sort, Scenario as Written, Trouble};
+use chutegrade_model::{play, Control, Scenario, Setup};
+
+/// Troubles together at most: what incidents had.
+const TROUBLES_MOST: usize = 3;
+/// Candidates of a round, and how many of the best go on to the next.
+const ROUND: (usize, usize) = (24, 6);
+/// Part of the loss that a smaller scenario must keep.
+const KEPT: f64 = 0.8;
+/// Seeds that a candidate is played with: chance alone is nothing found.
+const SEEDS: u64 = 2;
+/// A loss from which something is worth telling.
+const LOSS_LEAST: f64 = 0.02;
+
+/// Sorts of trouble that are searched.
+const SORTS: [Sort; 16] = [
+    Sort::Crash,
+    Sort::Hang,
+    Sort::FailFast,
+    Sort::Slow,
+    Sort::Neighbour,
+    Sort::Heavy,
+    Sort::Burst,
+    Sort::Streams,
+    Sort::ZoneLost,
+    Sort::Way,
+    Sort::FrontEndsStand,
+    Sort::SupervisorsStand,
+    Sort::SupervisorsDie,
+    Sort::FrontEndsDie,
+    Sort::Replace,
+    Sort::ReportsLate,
+];
+
+/// What is hunted for.
+#[derive(Clone, Debug)]
+pub struct Quarry {
+    /// What is judged.
+    pub setup: Setup,
+    /// What it is judged against; the loss is the difference in service.
+    pub against: Setup,
+    /// Only broken rules count.
+    pub rules_only: bool,
+}
+
+/// A scenario that was found.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Found {
+    /// The scenario.
+    pub scenario: Written,
+    /// Rules that break on it, in words.
+    pub broken: Vec<String>,
+    /// Service of what is judged, and of what it is judged against.
+    pub service: (f64, f64),
+    /// Runs that the search took.
+    pub runs: usize,
+}
+
+impl Found {
+    fn loss(&self) -> f64 {
+        self.service.1 - self.service.0
+    }
+
+    /// What is worse: a broken rule before any loss.
+    fn bad(&self, rules_only: bool) -> f64 {
+        let rules = self.broken.len() as f64 * 10.0;
+        if rules_only {
+            // Without one, what hurts is nearer to it than what does not.
+            rules + self.loss().clamp(0.0, 1.0) * 0.01
+        } else {
+            rules + self.loss()
+        }
+    }
+}
+
+fn judge(written: &Written, quarry: &Quarry, seed: u64) -> Option<Found> {
+    let scenario = Scenario::try_from(written).ok()?;
+    let mut found = Found { scenario: written.clone(), broken: Vec::new(), service: (0.0, 0.0), runs: 0 };
+    for number in 0..SEEDS {
+        let own = play(&scenario, &quarry.setup, seed + number);
+        let other = play(&scenario, &quarry.against, seed + number);
+        found.service.0 += own.service() / SEEDS as f64;
+        found.service.1 += other.service() / SEEDS as f64;
+        found.runs += 2;
+        for of in &own.broken {
+            let said = format!("{}: {}", of.rule.word(), of.how);
+            if !found.broken.iter().any(|known| known.starts_with(of.rule.word())) {
+                found.broken.push(said);
+            }
+        }
+    }
+    Some(found)
+}
+
+struct Search {
+    rng: ChaCha8Rng,
+    seconds: f64,
+    zones: Vec<String>,
+}
+
+impl Search {
+    fn between(&mut self, least: f64, most: f64) -> f64 {
+        // Three digits are enough, and read better.
+        let drawn = least + (most - least) * self.rng.random::<f64>();
+        (drawn * 100.0).round() / 100.0
+    }
+
+    fn trouble(&mut self) -> Trouble {
+        let sort = SORTS[self.rng.random_range(0..SORTS.len())];
+        let size = match sort {
+            Sort::FailFast => self.between(0.2, 1.0),
+            Sort::Neighbour => self.between(0.2, 0.9),
+            Sort::Slow => self.between(2.0, 12.0),
+            Sort::Heavy => self.between(4.0, 30.0),
+            Sort::Burst => self.between(1.3, 4.0),
+            Sort::Way => self.between(5.0, 800.0),
+            Sort::FrontEndsStand => self.between(100.0, 900.0),
+            Sort::Replace | Sort::ReportsLate => self.between(0.5, 8.0),
+            _ => 0.0,
+        };
+        let extra = match sort {
+            Sort::Neighbour => self.between(0.5, 5.0),
+            Sort::Heavy => self.between(0.005, 0.05),
+            Sort::Way => self.between(0.0, 1.0),
+            Sort::Replace => self.between(2.0, 12.0),
+            Sort::ZoneLost => f64::from(self.rng.random_range(0..2u8)),
+            _ => 0.0,
+        };
+        let zone = match sort {
+            Sort::ZoneLost | Sort::Way => true,
+            _ => self.rng.random_range(0..4) == 0,
+        };
+        let zone = zone.then(|| self.zones[self.rng.random_range(0..self.zones.len())].clone());
+        let most = self.seconds;
+        Trouble {
+            sort: Some(sort.into()),
+            at_s: Some(self.between(0.0, most * 0.6)),
+            length_s: Some(self.between(1.0, most * 0.5)),
+            part: Some(self.between(0.05, 0.9)),
+            size: (size > 0.0).then_some(size),
+            extra: (extra > 0.0).then_some(extra),
+            zone,
+            ramp_s: None,
+        }
+    }
+
+    fn fresh(&mut self, base: &Written) -> Written {
+        let mut scenario = base.clone();
+        let count = self.rng.random_range(1..=TROUBLES_MOST);
+        scenario.trouble.extend((0..count).map(|_| self.trouble()));
+        scenario
+    }
+
+    /// A neighbour of a scenario that was found bad.
+    fn near(&mut self, of: &Written, base: &Written) -> Written {
+        let mut scenario = of.clone();
+        let kept = base.trouble.len();
+        let own = scenario.trouble.len() - kept;
+        match self.rng.random_range(0..4) {
+            0 if own < TROUBLES_MOST => {
+                let more = self.trouble();
+                scenario.trouble.push(more);
+            }
+            1 if own > 1 => {
+                let at = kept + self.rng.random_range(0..own);
+                scenario.trouble.remove(at);
+            }
+            _ if own > 0 => {
+                let at = kept + self.rng.random_range(0..own);
+                let most = self.seconds;
+                let (at_s, length_s, part) =
+                    (self.between(0.0, most * 0.6), self.between(1.0, most * 0.5), self.between(0.05, 0.9));
+                let of = &mut scenario.trouble[at];
+                match self.rng.random_range(0..3) {
+                    0 => of.at_s = Some(at_s),
+                    1 => of.length_s = Some(length_s),
+                    _ => of.part = Some(part),
+                }
+            }
+            _ => {}
+        }
+        scenario
+    }
+}
+
+/// Searches with so many runs, then shrinks what was found. None if nothing is worth telling. `tell` gets runs done and the
+/// worst so far; it says whether to go on.
+pub fn hunt(
+    base: &Written,
+    quarry: &Quarry,
+    budget: usize,
+    seed: u64,
+    mut tell: impl FnMut(usize, Option<&Found>) -> bool,
+) -> Option<Found> {
+    let zones = if base.zone.is_empty() { vec!["a".to_string()] } else { base.zone.clone() };
+    let mut search =
+        Search { rng: ChaCha8Rng::seed_from_u64(seed), seconds: base.seconds.unwrap_or(60.0), zones };
+    let (mut best, mut runs): (Vec<Found>, usize) = (Vec::new(), 0);
+    while runs < budget {
+        // Half are new, half are neighbours of the worst so far.
+        let candidates: Vec<Written> = (0..ROUND.0)
+            .map(|place| match best.get(place % ROUND.1) {
+                Some(found) if place % 2 == 1 => search.near(&found.scenario.clone(), base),
+                _ => search.fresh(base),
+            })
+            .collect();
+        let found: Vec<Found> =
+            candidates.par_iter().filter_map(|candidate| judge(candidate, quarry, seed)).collect();
+        runs += found.iter().map(|of| of.runs).sum::<usize>().max(1);
+        best.extend(found);
+        best.sort_by(|one, other| other.bad(quarry.rules_only).total_cmp(&one.bad(quarry.rules_only)));
+        best.truncate(ROUND.1);
+        if !tell(runs, best.first()) {
+            break;
+        }
+    }
+    let worst = best.into_iter().next()?;
+    let worth = !worst.broken.is_empty() || (!quarry.rules_only && worst.loss() >= LOSS_LEAST);
+    worth.then(|| Found { runs, ..shrink(worst, quarry, seed) })
+}
+
+/// Smaller scenarios that may still do it, the largest steps first.
+fn smaller(of: &Written) -> Vec<Written> {
+    let mut all = Vec::new();
+    let mut with = |change: &dyn Fn(&mut Written)| {
+        let mut scenario = of.clone();
+        change(&mut scenario);
+        if scenario != *of {
+            all.push(scenario);
+        }
+    };
+    for at in 0..of.trouble.len() {
+        with(&|scenario| drop(scenario.trouble.remove(at)));
+    }
+    let half = |count: Option<u32>, least: u32| count.map(|count| (count / 2).max(least));
+    for at in 0..of.kind.len() {
+        with(&|scenario| scenario.kind[at].servers = half(of.kind[at].servers, 1));
+    }
+    with(&|scenario| {
+        if let Some(front) = &mut scenario.front_ends {
+            front.count = half(front.count, 2);
+        }
+    });
+    with(&|scenario| scenario.seconds = of.seconds.map(|seconds| (seconds / 2.0).max(10.0)));
+    for at in 0..of.trouble.len() {
+        let halved = |figure: Option<f64>, least: f64| figure.map(|figure| (figure / 2.0).max(least));
+        with(&|scenario| scenario.trouble[at].length_s = halved(of.trouble[at].length_s, 0.5));
+        with(&|scenario| scenario.trouble[at].part = halved(of.trouble[at].part, 0.02));
+        with(&|scenario| scenario.trouble[at].zone = None);
+        with(&|scenario| scenario.trouble[at].at_s = of.trouble[at].at_s.map(f64::round));
+    }
+    all
+}
+
+/// The smallest scenario that still breaks the same rules, or loses most of what the found one lost.
+fn shrink(found: Found, quarry: &Quarry, seed: u64) -> Found {
+    let rules: Vec<String> =
+        found.broken.iter().filter_map(|said| said.split(':').next()).map(String::from).collect();
+    let least = found.loss() * KEPT;
+    let still = |of: &Found| match rules.is_empty() {
+        true => of.loss() >= least,
+        false => rules.iter().all(|rule| of.broken.iter().any(|said| said.starts_with(rule.as_str()))),
+    };
+    let mut smallest = found;
+    loop {
+        let candidates = smaller(&smallest.scenario);
+        let tried: Vec<Option<Found>> =
+            candidates.par_iter().map(|candidate| judge(candidate, quarry, seed)).collect();
+        match tried.into_iter().flatten().find(still) {
+            Some(of) => smallest = of,
+            None => return smallest,
+        }
+    }
+}
+
+/// The usual quarry: the module against one that sees the truth half a second late.
+pub fn usual(rules_only: bool) -> Quarry {
+    Quarry {
+        setup: Setup::default(),
+        against: Setup { control: Control::Ideal(500), ..Setup::default() },
+        rules_only,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/run.rs
@@ -0,0 +1,194 @@
+//! Playing an experiment: pairs of runs in parallel, looked at after each doubling, until all is known as well as asked.
+
+use rayon::prelude::*;
+
+use chutegrade_model::measure::{Outcome, Second};
+
+use crate::experiment::{Arm, Plan};
+use crate::stats::{estimate, holm, needed, verdict, Estimate, Verdict};
+use crate::store::{Broken, Fault, Result, Store};
+
+/// Runs that go to the disk together, for each thread.
+const TOGETHER: usize = 2;
+
+/// Where an experiment stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Progress {
+    /// Runs that are there.
+    pub done: usize,
+    /// Runs that this look asks for.
+    pub wanted: usize,
+    /// The look, from 1, and how many there may be.
+    pub look: (usize, usize),
+}
+
+/// One difference: a variant against the first, on a scenario, by a measure.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Comparison {
+    /// The scenario.
+    pub case: String,
+    /// The measure.
+    pub measure: String,
+    /// The variant.
+    pub variant: String,
+    /// What the first variant has in the mean, and what this one has.
+    pub means: (f64, f64),
+    /// The difference, in pairs.
+    pub difference: Estimate,
+    /// Chance of it by accident, corrected for all comparisons.
+    pub p: f64,
+    /// What it says.
+    pub verdict: Verdict,
+    /// Runs after which it is known as well as asked.
+    pub needed: usize,
+}
+
+/// What came of a run, as it is kept.
+pub fn kept(arm: &Arm, variant: &str, build: &str, seed: u64, outcome: Outcome) -> Result {
+    let share = |of: &Second| if of.asked > 0.0 { (of.earned / of.asked) as f32 } else { 1.0 };
+    let broken = outcome.broken.iter().map(|of| Broken {
+        rule: of.rule.word().to_string(),
+        times: of.times,
+        at_s: of.at_s,
+        how: of.how.clone(),
+    });
+    Result {
+        case: arm.case.clone(),
+        variant: variant.to_string(),
+        digest: arm.digest.clone(),
+        build: build.to_string(),
+        seed,
+        classes: outcome.classes.iter().map(|class| (class.name.clone(), class.service)).collect(),
+        seconds: outcome.seconds.iter().map(share).collect(),
+        broken: broken.collect(),
+        events: outcome.events,
+        figures: outcome.figures,
+    }
+}
+
+/// Plays one arm with one seed.
+fn one(plan: &Plan, arm: &Arm, build: &str, seed: u64) -> Result {
+    let variant = &plan.variants[arm.variant];
+    let outcome = chutegrade_model::play(&arm.scenario, &variant.setup, seed);
+    kept(arm, &variant.name, build, seed, outcome)
+}
+
+/// Plays an experiment until every difference of its first measure is known as well as asked, or the most runs are done.
+/// What is in the store already is not played again. `tell` is called after each lot; it says whether to go on.
+pub fn play(
+    plan: &Plan,
+    build: &str,
+    store: &mut Store,
+    mut tell: impl FnMut(Progress) -> bool,
+) -> std::result::Result<bool, Fault> {
+    let looks = plan.precision.looks();
+    let mut runs = plan.precision.pilot;
+    for look in 1..=looks {
+        let open = unsettled(plan, build, store);
+        let wanted: Vec<(&Arm, u64)> = plan
+            .arms
+            .iter()
+            .filter(|arm| look == 1 || open.contains(&arm.case))
+            .flat_map(|arm| (0..runs as u64).map(move |number| (arm, plan.seed + number)))
+            .collect();
+        let missing: Vec<&(&Arm, u64)> =
+            wanted.iter().filter(|(arm, seed)| !store.has(&arm.digest, build, *seed)).collect();
+        let mut done = wanted.len() - missing.len();
+        let lot = TOGETHER * rayon::current_num_threads();
+        if !tell(Progress { done, wanted: wanted.len(), look: (look, looks) }) {
+            return Ok(false);
+        }
+        for some in missing.chunks(lot.max(1)) {
+            let results: Vec<Result> =
+                some.par_iter().map(|(arm, seed)| one(plan, arm, build, *seed)).collect();
+            done += results.len();
+            store.add(results)?;
+            if !tell(Progress { done, wanted: wanted.len(), look: (look, looks) }) {
+                return Ok(false);
+            }
+        }
+        if unsettled(plan, build, store).is_empty() {
+            break;
+        }
+        runs = (runs * 2).min(plan.precision.most);
+    }
+    Ok(true)
+}
+
+/// Scenarios on which some difference of the first measure is not known as well as asked.
+fn unsettled(plan: &Plan, build: &str, store: &Store) -> Vec<String> {
+    let first = plan.measures.first().cloned().unwrap_or_default();
+    let all = compare(plan, build, store);
+    let open = all.iter().filter(|of| of.measure == first && of.difference.half > plan.precision.half_width);
+    let mut cases: Vec<String> = open.map(|of| of.case.clone()).collect();
+    cases.dedup();
+    cases
+}
+
+/// Figures of an arm by seed.
+fn figures(store: &Store, digest: &str, build: &str, measure: &str) -> Vec<(u64, f64)> {
+    let figure = |result: &&Result| {
+        let class = measure.strip_prefix("class.").and_then(|class| result.classes.get(class));
+        class.or_else(|| result.figures.get(measure)).copied().unwrap_or(0.0)
+    };
+    store.of(digest, build).into_iter().map(|(seed, result)| (seed, figure(&result))).collect()
+}
+
+/// All differences, in pairs of the same seed.
+pub fn compare(plan: &Plan, build: &str, store: &Store) -> Vec<Comparison> {
+    let confidence = plan.precision.of_a_look();
+    let mut all = Vec::new();
+    for case in &plan.cases {
+        let arms: Vec<&Arm> = plan.of_case(case).collect();
+        let Some((base, others)) = arms.split_first() else { continue };
+        for measure in &plan.measures {
+            let of_base: std::collections::BTreeMap<u64, f64> =
+                figures(store, &base.digest, build, measure).into_iter().collect();
+            for arm in others {
+                let pairs: Vec<(f64, f64)> = figures(store, &arm.digest, build, measure)
+                    .into_iter()
+                    .filter_map(|(seed, figure)| Some((*of_base.get(&seed)?, figure)))
+                    .collect();
+                let differences: Vec<f64> = pairs.iter().map(|(one, other)| other - one).collect();
+                let mean = |of: fn(&(f64, f64)) -> f64| {
+                    pairs.iter().map(of).sum::<f64>() / pairs.len().max(1) as f64
+                };
+                all.push(Comparison {
+                    case: case.clone(),
+                    measure: measure.clone(),
+                    variant: plan.variants[arm.variant].name.clone(),
+                    means: (mean(|pair| pair.0), mean(|pair| pair.1)),
+                    difference: estimate(&differences, confidence, plan.seed),
+                    p: 1.0,
+                    verdict: Verdict::Open,
+                    needed: needed(&differences, confidence, plan.precision.half_width),
+                });
+            }
+        }
+    }
+    let corrected = holm(&all.iter().map(|of| of.difference.p).collect::<Vec<_>>());
+    for (of, p) in all.iter_mut().zip(corrected) {
+        of.p = p;
+        of.verdict = verdict(&of.difference, p, plan.precision.confidence, plan.precision.half_width);
+    }
+    all
+}
+
+/// Rules that were broken, by scenario, variant and rule, with how often and the first seed.
+pub fn broken(plan: &Plan, build: &str, store: &Store) -> Vec<(String, String, String, u64, u64, String)> {
+    let mut found = Vec::new();
+    for arm in &plan.arms {
+        let mut by_rule: std::collections::BTreeMap<String, (u64, u64, String)> = Default::default();
+        for (seed, result) in store.of(&arm.digest, build) {
+            for of in &result.broken {
+                let entry = by_rule.entry(of.rule.clone()).or_insert((0, seed, of.how.clone()));
+                entry.0 += 1;
+            }
+        }
+        let variant = &plan.variants[arm.variant].name;
+        for (rule, (runs, seed, how)) in by_rule {
+            found.push((arm.case.clone(), variant.clone(), rule, runs, seed, how));
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/lab/src/store.rs
@@ -0,0 +1,171 @@
+//! Results: one JSON line a run, appended and flushed as runs end. A line torn by a kill is taken off at the next start; a
+//! run that is there is never counted again.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{File, OpenOptions};
+use std::io::Write as _;
+use std::path::{Path, PathBuf};
+
+use serde::{Deserialize, Serialize};
+
+/// A rule that was broken in a run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub struct Broken {
+    pub rule: String,
+    pub times: u64,
+    pub at_s: f64,
+    pub how: String,
+}
+
+/// One run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub struct Result {
+    pub case: String,
+    pub variant: String,
+    /// Of scenario and variant, of the program, and of chance: together they decide all that follows.
+    pub digest: String,
+    pub build: String,
+    pub seed: u64,
+    pub figures: BTreeMap<String, f64>,
+    /// Service by class.
+    pub classes: BTreeMap<String, f64>,
+    /// Service by second, for charts.
+    pub seconds: Vec<f32>,
+    pub broken: Vec<Broken>,
+    pub events: u64,
+}
+
+/// A fault of the store.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// It can't be read or written.
+    #[error("{0}: {1}")]
+    Io(PathBuf, std::io::Error),
+    /// A line in its middle is none of ours.
+    #[error("{0}:{1}: no result: {2}")]
+    Line(PathBuf, usize, String),
+}
+
+/// What makes two runs the same.
+pub type Key = (String, String, u64);
+
+/// A file of results.
+#[derive(Debug)]
+pub struct Store {
+    path: PathBuf,
+    file: File,
+    known: BTreeSet<Key>,
+    results: Vec<Result>,
+}
+
+impl Store {
+    /// Opens the results of a directory, or begins them.
+    pub fn open(directory: &Path) -> std::result::Result<Self, Fault> {
+        let path = directory.join("results.jsonl");
+        let io = |fault| Fault::Io(path.clone(), fault);
+        std::fs::create_dir_all(directory).map_err(io)?;
+        let file = OpenOptions::new().create(true).append(true).open(&path).map_err(io)?;
+        let bytes = std::fs::read(&path).map_err(io)?;
+        let whole = bytes.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
+        if whole < bytes.len() {
+            // What a kill left of a line.
+            file.set_len(whole as u64).map_err(io)?;
+        }
+        let mut store = Store { path: path.clone(), file, known: BTreeSet::new(), results: Vec::new() };
+        for (number, line) in
+            bytes[..whole].split(|byte| *byte == b'\n').enumerate().filter(|(_, line)| !line.is_empty())
+        {
+            let result: Result = serde_json::from_slice(line)
+                .map_err(|fault| Fault::Line(path.clone(), number + 1, fault.to_string()))?;
+            store.keep(result);
+        }
+        Ok(store)
+    }
+
+    fn keep(&mut self, result: Result) {
+        let key = (result.digest.clone(), result.build.clone(), result.seed);
+        if self.known.insert(key) {
+            self.results.push(result);
+        }
+    }
+
+    /// Whether a run is there.
+    pub fn has(&self, digest: &str, build: &str, seed: u64) -> bool {
+        self.known.contains(&(digest.to_string(), build.to_string(), seed))
+    }
+
+    /// Appends runs; on return they are on the disk.
+    pub fn add(&mut self, results: Vec<Result>) -> std::result::Result<(), Fault> {
+        let io = |fault| Fault::Io(self.path.clone(), fault);
+        let mut lines = Vec::new();
+        for result in &results {
+            let line = serde_json::to_string(result).map_err(|fault| io(fault.into()))?;
+            lines.extend_from_slice(line.as_bytes());
+            lines.push(b'\n');
+        }
+        self.file.write_all(&lines).map_err(io)?;
+        self.file.sync_data().map_err(io)?;
+        results.into_iter().for_each(|result| self.keep(result));
+        Ok(())
+    }
+
+    /// All runs, in the order in which they ended.
+    pub fn results(&self) -> &[Result] {
+        &self.results
+    }
+
+    /// Runs of a scenario with a variant, by seed.
+    pub fn of(&self, digest: &str, build: &str) -> BTreeMap<u64, &Result> {
+        let own = self.results.iter().filter(|result| result.digest == digest && result.build == build);
+        own.map(|result| (result.seed, result)).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn result(seed: u64) -> Result {
+        let figures = BTreeMap::from([("service".to_string(), 0.1 + seed as f64)]);
+        Result { digest: "d".into(), build: "b".into(), seed, figures, ..Result::default() }
+    }
+
+    /// Danger: a kill in the middle of a line loses what was there before, or counts a run twice.
+    #[test]
+    fn a_kill_at_any_byte_loses_only_the_line_under_way() {
+        let directory = tempfile::tempdir().expect("a directory");
+        let mut store = Store::open(directory.path()).expect("a store");
+        store.add((0..3).map(result).collect()).expect("written");
+        let whole = std::fs::read(directory.path().join("results.jsonl")).expect("the file");
+        let line = whole.len() / 3;
+        for length in 0..=whole.len() {
+            std::fs::write(directory.path().join("results.jsonl"), &whole[..length]).expect("cut");
+            let mut store = Store::open(directory.path()).expect("a store");
+            let lines = whole[..length].iter().filter(|byte| **byte == b'\n').count();
+            assert_eq!(store.results().len(), lines, "{length} of {} bytes", whole.len());
+            store.add(vec![result(9)]).expect("written");
+            assert_eq!(
+                Store::open(directory.path()).expect("a store").results().len(),
+                lines + 1,
+                "{length} {line}"
+            );
+        }
+    }
+
+    #[test]
+    fn a_run_counts_once_and_figures_come_back_to_the_bit() {
+        let directory = tempfile::tempdir().expect("a directory");
+        let mut store = Store::open(directory.path()).expect("a store");
+        store.add(vec![result(1), result(1)]).expect("written");
+        assert_eq!((store.results().len(), store.has("d", "b", 1), store.has("d", "c", 1)), (1, true, false));
+        let again = Store::open(directory.path()).expect("a store");
+        assert_eq!(again.results(), [result(1)]);
+        std::fs::write(directory.path().join("results.jsonl"), "{}\n").expect("spoilt");
+        assert!(Store::open(directory.path())
+            .expect_err("a fault")
+            .to_string()
+            .contains("jsonl:1: no result"));
+    }
+}
--- a/crates/model/benches/queue.rs
+++ b/crates/model/benches/queue.rs
@@ -8,7 +8,7 @@
 use chutegrade_model::queue::{Plain, Queue, Wheel};
 use chutegrade_model::scenario::read;
 use chutegrade_model::sim::{run_on, Event};
-use chutegrade_model::{run, Control, Scenario};
+use chutegrade_model::{run, Control, Scenario, Setup};
 
 /// Rounds of each measurement; the best counts.
 const ROUNDS: usize = 5;
@@ -86,7 +86,7 @@
     }
     for times in [0.1, 1.0] {
         let tape = Taped { inner: Wheel::default(), steps: RefCell::default() };
-        let (_, tape) = run_on(&grown(times, 10), Control::Module, 1, tape);
+        let (_, tape) = run_on(&grown(times, 10), &Setup::default(), 1, tape);
         let steps = tape.steps.into_inner();
         let (heap, wheel) = (replay(&steps, Plain::default), replay(&steps, Wheel::default));
         let ratio = heap / wheel;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -17,4 +17,4 @@
 
 pub use measure::Outcome;
 pub use scenario::Scenario;
-pub use sim::{run, Control, Run};
+pub use sim::{play, run, Control, Run, Setup};
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -20,7 +20,7 @@
 use crate::supervisor::{lines, whole, Mind, Supervisor, Tally};
 use crate::trouble::Struck;
 
-pub use crate::supervisor::Control;
+pub use crate::supervisor::{Control, Setup};
 
 new_key_type! {
     /// An attempt at a server.
@@ -151,6 +151,7 @@
     pub(crate) now: u64,
     queue: Q,
     control: Control,
+    setup: &'a Setup,
     requests: SlotMap<RequestKey, Request>,
     attempts: SlotMap<AttemptKey, Attempt>,
     pub(crate) servers: Vec<Server>,
@@ -184,24 +185,29 @@
     servers: Chance,
 }
 
-/// Plays a scenario. The same scenario, control and seed give the same outcome to the bit.
+/// Plays a scenario without plug-ins.
 pub fn run(scenario: &Scenario, control: Control, seed: u64) -> Outcome {
-    run_on(scenario, control, seed, Wheel::default()).0
+    play(scenario, &Setup { control, ..Setup::default() }, seed)
+}
+
+/// Plays a scenario. The same scenario, setup and seed give the same outcome to the bit.
+pub fn play(scenario: &Scenario, setup: &Setup, seed: u64) -> Outcome {
+    run_on(scenario, setup, seed, Wheel::default()).0
 }
 
 /// A finished run: its outcome, and the queue that it ran on.
 pub type Run<Q> = (Outcome, Q);
 
 /// Plays a scenario on a given queue.
-pub fn run_on<Q: Queue<Event>>(scenario: &Scenario, control: Control, seed: u64, queue: Q) -> Run<Q> {
-    let mut sim = Sim::new(scenario, control, seed, queue);
+pub fn run_on<Q: Queue<Event>>(scenario: &Scenario, setup: &Setup, seed: u64, queue: Q) -> Run<Q> {
+    let mut sim = Sim::new(scenario, setup, seed, queue);
     sim.begin();
-    sim.play();
+    sim.go();
     sim.finish()
 }
 
 impl<'a, Q: Queue<Event>> Sim<'a, Q> {
-    fn new(scenario: &'a Scenario, control: Control, seed: u64, queue: Q) -> Self {
+    fn new(scenario: &'a Scenario, setup: &'a Setup, seed: u64, queue: Q) -> Self {
         let chance = |source| Chance::new(seed, source, 0);
         let chances = Chances {
             arrivals: chance(Source::Arrivals),
@@ -221,7 +227,8 @@
             seed,
             now: BEGIN_US,
             queue,
-            control,
+            control: setup.control,
+            setup,
             requests: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
             servers: Vec::new(),
@@ -282,13 +289,14 @@
         let zone = supervisor % self.scenario.zones.len();
         let seed = Chance::new(self.seed, Source::Supervisors, supervisor * 1000 + epoch as usize).number();
         let names = |names: &mut dyn Iterator<Item = &String>| names.cloned().collect::<Vec<String>>();
-        Mind::Engine(Box::new(Engine::new(
+        let engine = Box::new(Engine::new(
             self.scenario.settings(zone),
             seed,
             self.scenario.zones.clone(),
             names(&mut self.scenario.classes.iter().map(|class| &class.name)),
             names(&mut self.scenario.kinds.iter().map(|kind| &kind.name)),
-        )))
+        ));
+        Mind::Engine(engine, Box::new(self.setup.rules()))
     }
 
     fn begin(&mut self) {
@@ -325,7 +333,7 @@
         self.push(BEGIN_US + 1_000_000, Event::Second);
     }
 
-    fn play(&mut self) {
+    fn go(&mut self) {
         let last = BEGIN_US + self.scenario.length_us;
         while let Some((at, event)) = self.queue.pop() {
             if at > last && (self.requests.is_empty() || at > last + DRAIN_US) {
@@ -998,7 +1006,7 @@
 
     fn listed(&mut self, at: usize, kind: ListKind, entries: Vec<chutegrade_engine::Listed>) {
         match &mut self.supervisors[at].mind {
-            Mind::Engine(engine) => {
+            Mind::Engine(engine, _) => {
                 // A list names nothing that could be unknown.
                 let _ = engine.report(Report::List(kind, entries));
             }
@@ -1072,7 +1080,7 @@
         if !self.is(at, epoch) {
             return;
         }
-        if let Mind::Engine(engine) = &mut self.supervisors[at].mind {
+        if let Mind::Engine(engine, _) = &mut self.supervisors[at].mind {
             // A stream that has ended meanwhile is no longer known; the report is dropped, as in service.
             let _ = engine.report(report);
         }
@@ -1106,7 +1114,8 @@
         }
         of.ticked_us = now;
         match &mut of.mind {
-            Mind::Engine(engine) => {
+            Mind::Engine(engine, rules) => {
+                rules.turn(Micros(now as i64), engine);
                 let next = engine.tick(Micros(now as i64));
                 let probes: Vec<Probe> = std::iter::from_fn(|| engine.pick_probe()).collect();
                 let streams = engine.pick_streams();
@@ -1395,7 +1404,7 @@
         while taken < most && of.intake.front().is_some_and(|(due, _)| *due <= now) {
             let Some((_, report)) = of.intake.pop_front() else { break };
             taken += 1;
-            if let Mind::Engine(engine) = &mut of.mind {
+            if let Mind::Engine(engine, _) = &mut of.mind {
                 // A front end that has left meanwhile is no longer known; the report is dropped, as in service.
                 let _ = engine.report(report);
             }
--- a/crates/model/src/supervisor.rs
+++ b/crates/model/src/supervisor.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
+use chutegrade_advice::Rules;
 use chutegrade_engine::{Engine, Lifecycle, Listed, Load, Micros, Order, Part, Report};
 
 use crate::scenario::Scenario;
@@ -23,6 +24,37 @@
     Ideal(u32),
 }
 
+/// What decides at all supervisors, and by which rules of the operators.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Setup {
+    /// What decides.
+    pub control: Control,
+    /// Texts of plug-ins, with the names of their files; only the module takes advice.
+    pub plugins: Vec<(String, String)>,
+}
+
+impl Setup {
+    /// Whether the plug-ins compile; a sentence if not.
+    pub fn check(&self) -> Result<(), String> {
+        let refused = Rules::default().load(&self.plugins).err().unwrap_or_default();
+        match refused.first() {
+            None => Ok(()),
+            Some(one) => {
+                let first = one.faults.first().map(ToString::to_string).unwrap_or_default();
+                Err(format!("{}:{first}", one.name))
+            }
+        }
+    }
+
+    /// The rules of one supervisor, loaded.
+    pub fn rules(&self) -> Rules {
+        let mut rules = Rules::default();
+        // What does not compile was told when the setup was checked; here it is no rule.
+        let _ = rules.load(&self.plugins);
+        rules
+    }
+}
+
 /// What a supervisor knows of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Seen {
@@ -56,7 +88,7 @@
 /// What decides at one supervisor.
 pub enum Mind {
     /// The engine.
-    Engine(Box<Engine>),
+    Engine(Box<Engine>, Box<Rules>),
     /// A baseline; whether it has something new to order.
     Plain(bool),
 }
--- a/crates/model/tests/runs.rs
+++ b/crates/model/tests/runs.rs
@@ -3,7 +3,7 @@
 use chutegrade_model::queue::{Plain, Wheel};
 use chutegrade_model::scenario::{changed, parse, read};
 use chutegrade_model::sim::{run_on, Event};
-use chutegrade_model::{run, Control, Outcome, Scenario};
+use chutegrade_model::{run, Control, Outcome, Scenario, Setup};
 
 const FLEET: &str = r#"
 name: "fleet" seconds: 20
@@ -41,8 +41,8 @@
 fn the_same_seed_gives_the_same_run_on_either_queue() {
     let scenario =
         fleet("trouble { sort: SLOW at_s: 5 part: 0.3 size: 6 } trouble { sort: STREAMS at_s: 8 part: 0.8 }");
-    let (one, _) = run_on(&scenario, Control::Module, 7, Wheel::<Event>::default());
-    let (other, _) = run_on(&scenario, Control::Module, 7, Plain::<Event>::default());
+    let (one, _) = run_on(&scenario, &Setup::default(), 7, Wheel::<Event>::default());
+    let (other, _) = run_on(&scenario, &Setup::default(), 7, Plain::<Event>::default());
     assert_eq!(one, other);
     assert_ne!(one.figures, run(&scenario, Control::Module, 8).figures);
 }
--- a/crates/supervisor/src/cli.rs
+++ b/crates/supervisor/src/cli.rs
@@ -33,6 +33,98 @@
     Console(Console),
     /// Write one HTML page that tells the course of an incident.
     Report(Report),
+    /// Play scenarios on the fleet model, and compare variants with error bars.
+    Lab(Lab),
+}
+
+/// What to do in the laboratory.
+#[derive(Args, Debug)]
+pub struct Lab {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: LabCommand,
+}
+
+/// What decides on the model.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+pub enum Decider {
+    /// The decision module.
+    #[default]
+    Module,
+    /// All listed servers by their listed weight; for comparison only.
+    Fixed,
+    /// Nobody: front ends keep the tables they start with.
+    Nobody,
+    /// One that sees the truth half a second late.
+    Ideal,
+}
+
+/// What can be done in the laboratory.
+#[derive(Debug, Subcommand)]
+pub enum LabCommand {
+    /// Play one scenario once and print what came of it.
+    Play {
+        /// The scenario.
+        #[arg(value_name = "FILE")]
+        scenario: PathBuf,
+        /// Seed of chance.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// What decides.
+        #[arg(long, value_enum, default_value_t)]
+        control: Decider,
+        /// Texts of plug-ins, in their order.
+        #[arg(long = "plugin", value_name = "FILE")]
+        plugins: Vec<PathBuf>,
+    },
+    /// Play an experiment until its differences are known as well as asked; goes on where it was stopped.
+    Run {
+        /// The experiment.
+        #[arg(value_name = "FILE")]
+        experiment: PathBuf,
+        /// Where results, tables and the report go.
+        #[arg(long, value_name = "DIR")]
+        out: PathBuf,
+        /// Threads; without it, one for each core.
+        #[arg(long, default_value_t = 0)]
+        threads: usize,
+    },
+    /// Print what the results of an experiment say so far; plays nothing.
+    Compare {
+        /// The experiment.
+        #[arg(value_name = "FILE")]
+        experiment: PathBuf,
+        /// Where its results are.
+        #[arg(long, value_name = "DIR")]
+        out: PathBuf,
+    },
+    /// Write the report of an experiment anew from its results; plays nothing.
+    Report {
+        /// The experiment.
+        #[arg(value_name = "FILE")]
+        experiment: PathBuf,
+        /// Where its results are.
+        #[arg(long, value_name = "DIR")]
+        out: PathBuf,
+    },
+    /// Search troubles for the scenario on which a rule breaks or most is lost, and shrink it.
+    Hunt {
+        /// The scenario to begin with.
+        #[arg(value_name = "FILE")]
+        scenario: PathBuf,
+        /// Where the scenario that was found goes.
+        #[arg(long, value_name = "FILE")]
+        out: PathBuf,
+        /// Runs that the search may take.
+        #[arg(long, default_value_t = 1000)]
+        budget: usize,
+        /// Seed of the search.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Look for broken rules only.
+        #[arg(long)]
+        rules: bool,
+    },
 }
 
 /// What to do with plug-ins.
--- /dev/null
+++ b/crates/supervisor/src/lab.rs
@@ -0,0 +1,245 @@
+//! The laboratory's commands: what plays, searches and compares is in `chutegrade-lab`; here are files and the terminal.
+
+use std::io::{IsTerminal as _, Write};
+use std::path::{Path, PathBuf};
+
+use chutegrade_lab::experiment::{read, Plan};
+use chutegrade_lab::{hunt, report, run, Progress, Store};
+use chutegrade_model::{play, scenario, Control, Outcome, Scenario, Setup};
+use indicatif::{ProgressBar, ProgressStyle};
+
+use crate::cli::{Decider, Lab, LabCommand};
+use crate::{plugins, Fault};
+
+/// How late the ideal sees the truth, in milliseconds.
+const IDEAL_LATE_MS: u32 = 500;
+/// Largest file that is read, in bytes: scenarios are texts that people write.
+const LENGTH_MOST: u64 = 1 << 20;
+
+fn said(fault: impl ToString) -> Fault {
+    Fault::Said(fault.to_string())
+}
+
+/// `lab`.
+pub fn lab(of: &Lab, out: &mut impl Write) -> Result<(), Fault> {
+    match &of.command {
+        LabCommand::Play { scenario, seed, control, plugins } => {
+            once(scenario, *seed, *control, plugins, out)
+        }
+        LabCommand::Run { experiment, out: directory, threads } => {
+            rayon::ThreadPoolBuilder::new().num_threads(*threads).build_global().map_err(said)?;
+            run_all(experiment, directory, out)
+        }
+        LabCommand::Compare { experiment, out: directory } => {
+            let plan = plan(experiment)?;
+            let store = Store::open(directory).map_err(said)?;
+            write!(out, "{}", report::table(&plan, &build()?, &store)).map_err(Fault::from)
+        }
+        LabCommand::Report { experiment, out: directory } => {
+            let plan = plan(experiment)?;
+            let store = Store::open(directory).map_err(said)?;
+            write_report(&plan, &build()?, &store, directory, out)
+        }
+        LabCommand::Hunt { scenario, out: file, budget, seed, rules } => {
+            search(scenario, file, *budget, *seed, *rules, out)
+        }
+    }
+}
+
+/// What tells this program's text from another's: results of one are never taken for the other's.
+fn build() -> Result<String, Fault> {
+    let program = std::env::current_exe().and_then(std::fs::read).map_err(said)?;
+    Ok(blake3::hash(&program).to_hex().as_str().get(..12).unwrap_or_default().to_string())
+}
+
+fn text(path: &Path) -> Result<String, Fault> {
+    let shown = path.display();
+    let length = std::fs::metadata(path).map_err(|fault| said(format!("{shown}: {fault}")))?.len();
+    if length > LENGTH_MOST {
+        return Err(said(format!("{shown}: {length} bytes are too long, at most {LENGTH_MOST} are read")));
+    }
+    std::fs::read_to_string(path).map_err(|fault| said(format!("{shown}: {fault}")))
+}
+
+/// All faults of a file, each on a line with its place.
+fn faults(path: &Path, all: &[chutegrade_textproto::Wrong]) -> Fault {
+    let lines: Vec<String> = all.iter().map(|wrong| format!("{}:{wrong}", path.display())).collect();
+    said(lines.join("\nchutegrade: "))
+}
+
+fn plan(path: &Path) -> Result<Plan, Fault> {
+    let directory = path.parent().unwrap_or(Path::new("."));
+    read(&text(path)?, directory).map_err(|all| faults(path, &all))
+}
+
+fn once(
+    path: &Path,
+    seed: u64,
+    control: Decider,
+    texts: &[PathBuf],
+    out: &mut impl Write,
+) -> Result<(), Fault> {
+    let scenario = scenario::read(&text(path)?).map_err(|all| faults(path, &all))?;
+    let control = match control {
+        Decider::Module => Control::Module,
+        Decider::Fixed => Control::Fixed,
+        Decider::Nobody => Control::Nobody,
+        Decider::Ideal => Control::Ideal(IDEAL_LATE_MS),
+    };
+    let setup = Setup { control, plugins: plugins::read(texts)? };
+    setup.check().map_err(Fault::Said)?;
+    let begun = std::time::Instant::now();
+    let outcome = play(&scenario, &setup, seed);
+    tell(&scenario, &outcome, out)?;
+    let took = begun.elapsed().as_secs_f64();
+    let times = scenario.length_us as f64 / 1e6 / took.max(1e-9);
+    writeln!(out, "{} events in {took:.2} s, {times:.0} times real time", outcome.events)?;
+    Ok(())
+}
+
+fn tell(scenario: &Scenario, outcome: &Outcome, out: &mut impl Write) -> Result<(), Fault> {
+    writeln!(
+        out,
+        "{}: {} servers, {} front ends, {} supervisors, {:.0} requests/s for {:.0} s (simulated)",
+        scenario.name,
+        scenario.servers(),
+        scenario.front_ends,
+        scenario.supervisors,
+        scenario.rate,
+        scenario.length_us as f64 / 1e6
+    )?;
+    for name in
+        ["service", "whole", "worst_window", "worst_class", "nines", "refused", "failed", "tries", "comings"]
+    {
+        writeln!(out, "  {name:13} {:.4}", outcome.figure(name))?;
+    }
+    for name in ["wasted", "channel", "backlog", "connections", "queue", "crossing", "shut_out_s"] {
+        writeln!(out, "  {name:13} {:.4}", outcome.figure(name))?;
+    }
+    for class in &outcome.classes {
+        let [half, nine, hundred, thousand] = class.quantiles_ms;
+        writeln!(
+            out,
+            "  {}: {} came, service {:.4}, refused {:.4}, failed {:.4}, answered within {half:.0} / {nine:.0} / {hundred:.0} / {thousand:.0} ms (50, 90, 99, 99.9 %)",
+            class.name, class.came, class.service, class.refused, class.failed
+        )?;
+    }
+    for of in &outcome.broken {
+        writeln!(
+            out,
+            "  RULE BROKEN: {} {} times, first at {:.1} s: {}",
+            of.rule.word(),
+            of.times,
+            of.at_s,
+            of.how
+        )?;
+    }
+    Ok(())
+}
+
+/// A bar on the terminal, with the time that is left; nothing where there is no terminal.
+fn bar() -> ProgressBar {
+    if !std::io::stderr().is_terminal() {
+        return ProgressBar::hidden();
+    }
+    let style = ProgressStyle::with_template("{msg} [{bar:30}] {pos}/{len} runs, {eta} left");
+    let bar = ProgressBar::new(0);
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    bar
+}
+
+fn run_all(path: &Path, directory: &Path, out: &mut impl Write) -> Result<(), Fault> {
+    let (plan, build) = (plan(path)?, build()?);
+    let mut store = Store::open(directory).map_err(said)?;
+    let there = store.results().len();
+    if there > 0 {
+        writeln!(out, "{there} runs are there already")?;
+    }
+    let bar = bar();
+    let mut look = 0;
+    let tell = |at: Progress| {
+        if at.look.0 != look {
+            look = at.look.0;
+            bar.reset_eta();
+        }
+        bar.set_length(at.wanted as u64);
+        bar.set_position(at.done as u64);
+        bar.set_message(format!("look {} of {} at most", at.look.0, at.look.1));
+        true
+    };
+    run::play(&plan, &build, &mut store, tell).map_err(said)?;
+    bar.finish_and_clear();
+    write!(out, "{}", report::table(&plan, &build, &store))?;
+    write_report(&plan, &build, &store, directory, out)
+}
+
+fn write_report(
+    plan: &Plan,
+    build: &str,
+    store: &Store,
+    directory: &Path,
+    out: &mut impl Write,
+) -> Result<(), Fault> {
+    let files = [
+        ("runs.csv", report::runs_csv(store)),
+        ("comparisons.csv", report::comparisons_csv(plan, build, store)),
+        ("report.html", report::page(plan, build, store)),
+    ];
+    for (name, text) in files {
+        write_whole(&directory.join(name), &text)?;
+    }
+    writeln!(out, "{}: runs.csv, comparisons.csv and report.html are written", directory.display())?;
+    Ok(())
+}
+
+/// A file appears whole or not at all.
+fn write_whole(path: &Path, text: &str) -> Result<(), Fault> {
+    let draft = path.with_extension("draft");
+    let written = std::fs::write(&draft, text).and_then(|()| std::fs::rename(&draft, path));
+    written.map_err(|fault| said(format!("{} cannot be written: {fault}", path.display())))
+}
+
+fn search(
+    path: &Path,
+    file: &Path,
+    budget: usize,
+    seed: u64,
+    rules: bool,
+    out: &mut impl Write,
+) -> Result<(), Fault> {
+    let written = scenario::parse(&text(path)?).map_err(|wrong| faults(path, &[wrong]))?;
+    Scenario::try_from(&written)
+        .map_err(|all| said(all.into_iter().map(|(_, said)| said).collect::<Vec<_>>().join("; ")))?;
+    let bar = bar();
+    bar.set_length(budget as u64);
+    let tell = |runs: usize, worst: Option<&hunt::Found>| {
+        bar.set_position(runs as u64);
+        if let Some(of) = worst {
+            bar.set_message(format!(
+                "worst {:.3} of {:.3}, {} rules",
+                of.service.0,
+                of.service.1,
+                of.broken.len()
+            ));
+        }
+        true
+    };
+    let found = hunt::hunt(&written, &hunt::usual(rules), budget, seed, tell);
+    bar.finish_and_clear();
+    let Some(found) = found else {
+        writeln!(out, "nothing was found")?;
+        return Ok(());
+    };
+    let mut head = format!("# Found by a search of {} runs with seed {seed}.\n", found.runs);
+    head += &format!(
+        "# Service {:.3}; one that sees the truth late has {:.3}.\n",
+        found.service.0, found.service.1
+    );
+    for said in &found.broken {
+        head += &format!("# Rule broken: {said}.\n");
+    }
+    write_whole(file, &(head.clone() + &scenario::write(&found.scenario)))?;
+    write!(out, "{}", head.replace("# ", ""))?;
+    writeln!(out, "{} is written", file.display())?;
+    Ok(())
+}
--- a/crates/supervisor/src/main.rs
+++ b/crates/supervisor/src/main.rs
@@ -8,6 +8,7 @@
 mod ending;
 mod http;
 mod hub;
+mod lab;
 mod lines;
 mod list;
 mod listener;
@@ -67,6 +68,7 @@
         Command::Plugin(plugin) => tools::plugin(&plugin, &mut std::io::stdout().lock()),
         Command::Console(console) => tools::console(&console),
         Command::Report(report) => tools::report(&report, &mut std::io::stdout().lock()),
+        Command::Lab(of) => lab::lab(&of, &mut std::io::stdout().lock()),
     };
     match done {
         Ok(()) | Err(Fault::Gone) => ExitCode::SUCCESS,
