The model against loopback, experiments with reports, pages; streams across a cut break

The stand-in fleet's settings say what it does: sums each second, load with probes alone. In the model a zone cut off loses its streams, deep probes, load by probes, who left a server counts front ends without a stream too.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, look and run; `make` alone lists the goals.
-.PHONY: help build test lint run demo incident bench ci
+.PHONY: help build test lint run demo incident lab truth bench ci
 
 help:
 	@echo "make demo      a first look: a stand-in fleet, two supervisors and the console; ends with q"
@@ -8,6 +8,8 @@
 	@echo "make lint      formatting and clippy, warnings are errors"
 	@echo "make run       one supervisor in the foreground; LB_CONFIG must name its configuration"
 	@echo "make incident  a scripted incident of 75 seconds; records and report in target/incident"
+	@echo "make lab       an experiment on the fleet model, half a minute; its report in target/lab/picking"
+	@echo "make truth     the model against the program on loopback, some three minutes"
 	@echo "make bench     the measurements of the store, some five minutes"
 	@echo "make ci        the whole verdict on a checkout"
 
@@ -31,6 +33,12 @@
 	target/release/chutegrade-incident
 	target/release/chutegrade report target/incident/records --out target/incident/report.html
 
+lab: build
+	target/release/chutegrade lab run experiments/picking.txtpb --out target/lab/picking
+
+truth: build
+	target/release/chutegrade-truth
+
 bench:
 	cargo bench --locked -p chutegrade-records
 
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -40,6 +40,17 @@
     Sort::ReportsLate,
 ];
 
+/// The largest share that a trouble strikes in a search: what operators have on record, and half as much again.
+fn part_most(sort: Sort) -> f64 {
+    match sort {
+        Sort::Crash | Sort::Hang | Sort::FailFast => 0.35,
+        Sort::Slow => 0.4,
+        Sort::Replace => 0.55,
+        Sort::Neighbour => 0.7,
+        _ => 0.9,
+    }
+}
+
 /// What is hunted for.
 #[derive(Clone, Debug)]
 pub struct Quarry {
@@ -144,7 +155,7 @@
             sort: Some(sort.into()),
             at_s: Some(self.between(0.0, most * 0.6)),
             length_s: Some(self.between(1.0, most * 0.5)),
-            part: Some(self.between(0.05, 0.9)),
+            part: Some(self.between(0.05, part_most(sort))),
             size: (size > 0.0).then_some(size),
             extra: (extra > 0.0).then_some(extra),
             zone,
@@ -176,8 +187,12 @@
             _ if own > 0 => {
                 let at = kept + self.rng.random_range(0..own);
                 let most = self.seconds;
-                let (at_s, length_s, part) =
-                    (self.between(0.0, most * 0.6), self.between(1.0, most * 0.5), self.between(0.05, 0.9));
+                let part_most = part_most(scenario.trouble[at].sort());
+                let (at_s, length_s, part) = (
+                    self.between(0.0, most * 0.6),
+                    self.between(1.0, most * 0.5),
+                    self.between(0.05, part_most),
+                );
                 let of = &mut scenario.trouble[at];
                 match self.rng.random_range(0..3) {
                     0 => of.at_s = Some(at_s),
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -35,6 +35,11 @@
     format!("{:+.digits$} ± {:.digits$}", of.difference.mean, of.difference.half)
 }
 
+/// Runs that are needed, of the first measure.
+fn wanted(of: &Comparison) -> String {
+    of.needed.map_or_else(|| "-".to_string(), |runs| runs.to_string())
+}
+
 fn chance(p: f64) -> String {
     if p < 0.001 {
         "< 0.001".to_string()
@@ -69,7 +74,7 @@
             difference(&of),
             chance(of.p),
             of.difference.runs.to_string(),
-            of.needed.to_string(),
+            wanted(&of),
             of.verdict.word().to_string(),
         ]);
     }
@@ -171,7 +176,7 @@
             of.difference.mean,
             of.p,
             of.difference.runs,
-            of.needed,
+            wanted(&of),
             of.verdict.word(),
         );
     }
@@ -248,8 +253,8 @@
                 format!("{} and the first are alike in {} on {}: {sure}.", of.variant, of.measure, of.case)
             }
             Verdict::Open => format!(
-                "{} and the first are not told apart in {} on {}: {sure}, after {} runs of some {} needed.",
-                of.variant, of.measure, of.case, of.difference.runs, of.needed
+                "{} and the first are not told apart in {} on {}: {sure}, after {} runs.",
+                of.variant, of.measure, of.case, of.difference.runs
             ),
         }
     };
@@ -366,7 +371,7 @@
                 td.n { (format!("{:.4}", of.means.0)) } td.n { (format!("{:.4}", of.means.1)) }
                 td.n { (difference(of)) }
                 td.n { (format!("{:+.4} to {:+.4}", of.difference.bootstrap.0, of.difference.bootstrap.1)) }
-                td.n { (chance(of.p)) } td.n { (of.difference.runs) } td.n { (of.needed) }
+                td.n { (chance(of.p)) } td.n { (of.difference.runs) } td.n { (wanted(of)) }
                 td class=(of.verdict.word().replace(' ', "-")) { (of.verdict.word()) }
             } } }
         }
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -39,8 +39,8 @@
     pub p: f64,
     /// What it says.
     pub verdict: Verdict,
-    /// Runs after which it is known as well as asked.
-    pub needed: usize,
+    /// Runs after which it is known as well as asked; of the first measure only, in whose units that is asked.
+    pub needed: Option<usize>,
 }
 
 /// What came of a run, as it is kept.
@@ -161,7 +161,8 @@
                     difference: estimate(&differences, confidence, plan.seed),
                     p: 1.0,
                     verdict: Verdict::Open,
-                    needed: needed(&differences, confidence, plan.precision.half_width),
+                    needed: (Some(measure) == plan.measures.first())
+                        .then(|| needed(&differences, confidence, plan.precision.half_width)),
                 });
             }
         }
--- a/crates/model/benches/queue.rs
+++ b/crates/model/benches/queue.rs
@@ -79,6 +79,34 @@
     line.split_whitespace().next().and_then(|kib| kib.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
 }
 
+/// Seconds of work for a simulated second by size, both on logarithmic scales, as a picture; and the exponent.
+fn chart(points: &[(f64, f64)]) -> String {
+    let ((first, low), (last, high)) = (points[0], points[points.len() - 1]);
+    let exponent = (high / low).ln() / (last / first).ln();
+    let x = |size: f64| 60.0 + 520.0 * (size / first).ln() / (last / first).ln();
+    let y = |cost: f64| 260.0 - 220.0 * (cost / low).ln() / (high / low).ln();
+    let dot = |(size, cost): &(f64, f64)| {
+        let (x, y) = (x(*size), y(*cost));
+        format!(
+            "<circle cx='{x:.0}' cy='{y:.0}' r='4' fill='#2f6db3'/>\
+             <text x='{x:.0}' y='{:.0}' text-anchor='middle'>{cost:.4}</text>\
+             <text x='{x:.0}' y='285' text-anchor='middle'>{size}</text>\n",
+            y - 10.0
+        )
+    };
+    let line: Vec<String> =
+        points.iter().map(|(size, cost)| format!("{:.0},{:.0}", x(*size), y(*cost))).collect();
+    format!(
+        "<svg xmlns='http://www.w3.org/2000/svg' viewBox='0 0 640 320' font-family='sans-serif' font-size='11'>\n\
+         <rect width='640' height='320' fill='white'/>\n\
+         <text x='60' y='18' font-size='13'>Seconds of work for a simulated second; grows with the size to the power of {exponent:.2}</text>\n\
+         <polyline fill='none' stroke='#2f6db3' points='{}'/>\n{}\
+         <text x='320' y='308' text-anchor='middle'>times the grown fleet: 325 servers, 1,057 front ends, 2,800 requests/s</text>\n</svg>\n",
+        line.join(" "),
+        points.iter().map(dot).collect::<String>()
+    )
+}
+
 /// Measures under `cargo bench` alone.
 fn main() {
     if !std::env::args().any(|argument| argument == "--bench") {
@@ -92,12 +120,16 @@
         let ratio = heap / wheel;
         println!("{times:>4} of the grown fleet, {} steps: heap {heap:.1} ns, wheel {wheel:.1} ns, {ratio:.2} times", steps.len());
     }
+    let mut points = Vec::new();
     for times in [0.01, 0.03, 0.1, 0.3, 1.0, 2.0, 6.0, 9.5] {
         let seconds = if times > 1.0 { 10 } else { 30 };
         let scenario = grown(times, seconds);
         let begun = Instant::now();
         let outcome = run(&scenario, Control::Module, 1);
         let took = begun.elapsed().as_secs_f64();
+        if times >= 0.1 {
+            points.push((times, took / f64::from(seconds)));
+        }
         println!(
             "{times:>5} times: {} servers, {} front ends, {:.0} requests/s: {:.1} times real time, {:.2} M events/s, service {:.3}, {} rules, {:.0} MiB at most",
             scenario.servers(),
@@ -110,4 +142,9 @@
             resident_mib(),
         );
     }
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../target/scale.svg");
+    match std::fs::write(path, chart(&points)) {
+        Ok(()) => println!("target/scale.svg is written"),
+        Err(fault) => println!("target/scale.svg cannot be written: {fault}"),
+    }
 }
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -128,6 +128,7 @@
     pub backlog: f64,
     pub messages_most: usize,
     pub load_reports: bool,
+    pub load_with_answers: bool,
     pub refresh_us: u64,
     pub period_us: u64,
     pub reports_late_us: u64,
@@ -146,6 +147,7 @@
     pub probe_ms: f64,
     pub probe_timeout_us: u64,
     pub probes_per_core: f64,
+    pub probes_deep: bool,
     pub unserved_us: u64,
     pub drain_grace_us: u64,
     pub fall_multiple: f64,
@@ -419,6 +421,7 @@
             backlog: c.figure("backlog", supervisors.backlog, 1.5 * lines_per_s, 1.0, 1e12),
             messages_most: c.count("messages_most", supervisors.messages_most, 0, 0, 1_000_000),
             load_reports: reports.load.unwrap_or(true),
+            load_with_answers: reports.with_answers.unwrap_or(true),
             refresh_us: c.us("refresh_ms", reports.refresh_ms, 500.0, MS),
             period_us: c.us("period_s", reports.period_s, 1.0, S).max(1000),
             reports_late_us: c.us("late_ms", reports.late_ms, 600.0, MS),
@@ -437,6 +440,7 @@
             probe_ms: c.figure("work_ms", probes.work_ms, 4.0, 0.0, 10_000.0),
             probe_timeout_us: c.us("timeout_ms", probes.timeout_ms, 300.0, MS),
             probes_per_core: c.figure("most_per_core", probes.most_per_core, 3.0, 0.1, 1000.0),
+            probes_deep: probes.deep.unwrap_or(false),
             unserved_us: c.us("unserved_s", rules.unserved_s, 5.0, S),
             drain_grace_us: c.us("drain_grace_s", rules.drain_grace_s, 3.0, S),
             fall_multiple: c.figure("fall_multiple", rules.fall_multiple, 3.0, 1.0, 1000.0),
@@ -509,10 +513,10 @@
             },
             proxy_ejects_after: self.avoids_after,
             listed: policy::Listed::Rough,
-            reports: if self.load_reports {
-                policy::ReportSource::Answers
-            } else {
-                policy::ReportSource::None
+            reports: match (self.load_reports, self.load_with_answers) {
+                (false, _) => policy::ReportSource::None,
+                (true, true) => policy::ReportSource::Answers,
+                (true, false) => policy::ReportSource::Probes,
             },
             report_period: micros(self.period_us),
             probes: self.probes,
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -173,6 +173,12 @@
         self.cores * self.speed * self.warmth(now) * (1.0 - self.effects.taken) / self.effects.slow
     }
 
+    /// Work that it can do in a second as far as its start goes, troubles aside: nobody is blamed for a cold server that a
+    /// trouble strikes.
+    pub fn cold_capacity(&self, now: u64) -> f64 {
+        self.cores * self.speed * self.warmth(now)
+    }
+
     /// Work done in a millisecond for each of the requests in work, in milliseconds.
     fn pace(&self, now: u64) -> f64 {
         let (working, cores) = (self.working.len() as f64, self.cores);
@@ -308,6 +314,14 @@
         self.service_ms
     }
 
+    /// How long one more request would wait, by what waits now and the recent service time, in milliseconds.
+    pub fn wait_ms(&self) -> f64 {
+        if self.working.len() < self.slots {
+            return 0.0;
+        }
+        (self.waiting.len() as f64 + 1.0) * self.service_ms / self.slots as f64
+    }
+
     /// How long a probe with so much work takes there, in milliseconds; nothing if it is never answered.
     pub fn probe_ms(&self, now: u64, work_ms: f64) -> Option<f64> {
         let capacity = self.capacity(now);
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -649,7 +649,7 @@
         if !of.is_cold(self.now) || !of.runs() {
             return;
         }
-        let capacity = of.capacity(self.now).max(1e-6);
+        let capacity = of.cold_capacity(self.now);
         let by = (self.scenario.fall_multiple, self.scenario.fall_us, self.mean_work_ms);
         let stands = sent_cold(&mut of.sent_cold, (self.now, work_ms, knowing), capacity, by);
         if stands == Cold::Stands {
@@ -1467,7 +1467,14 @@
             self.push(self.now + way, Event::ProbeEnd(Box::new(ended)));
             return;
         }
-        let took = of.probe_ms(self.now, self.scenario.probe_ms).map(|ms| (ms * 1e3) as u64);
+        let deep = self.scenario.probes_deep;
+        if deep && of.effects.fails > 0.0 && self.chances.errors.share() < of.effects.fails {
+            let ended = (probing, ProbeEnd::Error, Load::default(), false);
+            self.push(self.now + ERROR_US + way, Event::ProbeEnd(Box::new(ended)));
+            return;
+        }
+        let waits = if deep { of.wait_ms() } else { 0.0 };
+        let took = of.probe_ms(self.now, self.scenario.probe_ms).map(|ms| ((ms + waits) * 1e3) as u64);
         let in_time =
             took.filter(|took| self.now + took + way < probing.sent_us + self.scenario.probe_timeout_us);
         let Some(took) = in_time else {
@@ -1548,7 +1555,7 @@
                 let rows = |class: usize| {
                     front.table(class).rows().binary_search_by_key(&server, |row| row.0).is_ok()
                 };
-                front.joined.is_some() && !front.is_withdrawn(server) && (0..scenario.classes.len()).any(rows)
+                front.up && !front.is_withdrawn(server) && (0..scenario.classes.len()).any(rows)
             };
             if self.fronts.iter().any(picked) {
                 self.watched.push((server, since));
--- a/crates/model/src/supervisor.rs
+++ b/crates/model/src/supervisor.rs
@@ -221,10 +221,14 @@
         let report = |((zone, server), of): ((usize, u32), Tally)| {
             let good = of.tries - of.failed;
             let mean_ms = if good > 0.0 { of.sum_ms / good * noise() } else { 0.0 };
-            let load =
-                of.load.filter(|_| scenario.load_reports).map_or(Load::default(), |(queue, latency_ms)| {
-                    Load { queue: Some(queue), latency_ms: Some(latency_ms), ..Load::default() }
-                });
+            let load = of.load.filter(|_| scenario.load_reports && scenario.load_with_answers).map_or(
+                Load::default(),
+                |(queue, latency_ms)| Load {
+                    queue: Some(queue),
+                    latency_ms: Some(latency_ms),
+                    ..Load::default()
+                },
+            );
             Report::Outcomes {
                 zone: scenario.zones[zone].clone(),
                 server: servers[server as usize].name.to_string(),
--- a/crates/model/src/trouble.rs
+++ b/crates/model/src/trouble.rs
@@ -74,6 +74,7 @@
             chance.some(candidates.len(), count).into_iter().map(|at| candidates[at]).collect();
         self.struck[number] = Struck { on: true, whom: whom.clone() };
         match trouble.sort {
+            Sort::Way if trouble.extra >= 1.0 => self.streams_are_cut(&trouble),
             Sort::Crash => whom.iter().for_each(|at| self.server_dies(*at, false)),
             Sort::ZoneLost => {
                 whom.iter().for_each(|at| self.server_dies(*at, true));
@@ -104,6 +105,18 @@
         }
     }
 
+    /// Nothing passes between a zone and the others: streams across break.
+    fn streams_are_cut(&mut self, trouble: &Trouble) {
+        let beyond = |zone: usize| trouble.zone == Some(zone);
+        let crosses = |at: &usize| {
+            let front = &self.fronts[*at];
+            let joined = front.joined.map(|(supervisor, ..)| self.supervisors[supervisor].zone);
+            joined.is_some_and(|zone| beyond(zone) != beyond(front.zone))
+        };
+        let cut: Vec<usize> = (0..self.fronts.len()).filter(crosses).collect();
+        cut.iter().for_each(|at| self.stream_breaks(*at));
+    }
+
     fn others_of_zone(&mut self, trouble: &Trouble, back: bool) {
         let zone = trouble.zone.unwrap_or(0);
         for at in (0..self.fronts.len()).filter(|at| self.fronts[*at].zone == zone).collect::<Vec<_>>() {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -256,6 +256,37 @@
     pub after_drain: Arc<AtomicU64>,
     /// Orders that the protocol does not allow.
     pub bad_orders: Arc<AtomicU64>,
+    /// How each request ended, once somebody asked for it: when it came, its class, and how long its answer took.
+    pub answers: Arc<Mutex<Option<Vec<Answer>>>>,
+}
+
+/// How one request ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    /// When it came.
+    pub came: Instant,
+    /// Its class, by its place.
+    pub class: usize,
+    /// It was turned away by a level.
+    pub refused: bool,
+    /// Milliseconds until its answer, if it had one.
+    pub ms: Option<f64>,
+}
+
+/// Requests whose ends are kept at most: an hour of the small fleet.
+const ANSWERS_MOST: usize = 2_000_000;
+
+impl Served {
+    /// From now on the end of each request is kept.
+    pub fn keep(&self) {
+        *held(&self.answers) = Some(Vec::new());
+    }
+
+    fn ended(&self, answer: Answer) {
+        if let Some(kept) = held(&self.answers).as_mut().filter(|kept| kept.len() < ANSWERS_MOST) {
+            kept.push(answer);
+        }
+    }
 }
 
 impl Drop for Fleet {
@@ -526,6 +557,9 @@
     let class = if rng.random_bool(0.7) { CLASSES[0] } else { CLASSES[1] };
     let number = (u64::from(front.id) << 40) | front.requests.fetch_add(1, Ordering::Relaxed);
     fleet.served.came.fetch_add(1, Ordering::Relaxed);
+    let came = Instant::now();
+    let at = usize::from(class == CLASSES[1]);
+    let ended = |refused, ms| fleet.served.ended(Answer { came, class: at, refused, ms });
     let (admitted, retry) = {
         let tables = held(&front.tables);
         (rng.random_bool(tables.level(class).clamp(0.0, 1.0)), tables.retries.get(class).cloned())
@@ -533,6 +567,7 @@
     held(&front.usage).entry(class).or_default().came += 1;
     if !admitted {
         fleet.served.refused.fetch_add(1, Ordering::Relaxed);
+        ended(true, None);
         return;
     }
     let tries = async {
@@ -544,8 +579,10 @@
             (first, _) => first,
         }
     };
-    let ended = timeout(PATIENCE, tries).await.ok().flatten();
-    if matches!(ended, Some(Outcome::Done(_))) {
+    let outcome = timeout(PATIENCE, tries).await.ok().flatten();
+    let done = matches!(outcome, Some(Outcome::Done(_)));
+    ended(false, done.then(|| came.elapsed().as_secs_f64() * 1000.0));
+    if done {
         fleet.served.done.fetch_add(1, Ordering::Relaxed);
     } else {
         fleet.served.failed.fetch_add(1, Ordering::Relaxed);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod http;
 pub mod peer;
+pub mod predict;
 pub mod program;
 pub mod script;
 pub mod server;
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -35,6 +35,11 @@
     told["settings"]["peersTotal"] = json!(SUPERVISORS.len());
     told["settings"]["zones"] = json!(ZONES);
     told["settings"]["guarantees"]["coldMs"] = json!(4000.0);
+    // As the fleet's collectors and servers do it: sums each second, load with the results of probes alone.
+    told["settings"]["familyInfo"]["cycleMs"] = json!(1000.0);
+    told["settings"]["familyInfo"]["firstWait"] = json!(1.0);
+    told["settings"]["report"]["source"] = json!("pull");
+    told["settings"]["prices"] = json!({"probe": 0.02, "crossZone": 0.01});
     told
 }
 
@@ -46,13 +51,24 @@
 
     /// The same with more in the operators' file.
     pub async fn set_with(program: &Path, directory: &Path, seed: u64, more: &str) -> Self {
+        Stage::sized(program, directory, SIZE, seed, more).await
+    }
+
+    /// The same with so many servers a zone, so many front ends, and so many requests a second at each.
+    pub async fn sized(
+        program: &Path,
+        directory: &Path,
+        size: (usize, u32, f64),
+        seed: u64,
+        more: &str,
+    ) -> Self {
         let records = directory.join("records");
         std::fs::create_dir_all(&records).expect("a directory");
         let operator = directory.join("operator.txtpb");
         let absolute = std::fs::canonicalize(&records).expect("the directory just made");
         let text = format!("records {{ directory: {:?} }}\n{more}\n", absolute.display().to_string());
         std::fs::write(&operator, text).expect("an operators' file");
-        let fleet = Fleet::start(SIZE.0, SIZE.1, SIZE.2, seed).await;
+        let fleet = Fleet::start(size.0, size.1, size.2, seed).await;
         let mut stage = Stage {
             fleet,
             diary: Diary::default(),
@@ -74,6 +90,11 @@
         self.directory.join("records")
     }
 
+    /// Starts a supervisor that was killed.
+    pub async fn again(&mut self, at: usize) {
+        self.begin(at).await;
+    }
+
     async fn begin(&mut self, at: usize) {
         self.diary.note(Deed::Begun { supervisor: SUPERVISORS[at].to_string() });
         let supervisor = self.program.start(&told(&self.fleet, SUPERVISORS[at])).await;
@@ -81,7 +102,8 @@
         self.supervisors[at] = Some(supervisor);
     }
 
-    async fn kill(&mut self, at: usize) {
+    /// Kills a supervisor; `again` starts it anew.
+    pub async fn kill(&mut self, at: usize) {
         let Some(supervisor) = self.supervisors[at].take() else { return };
         self.diary.note(Deed::Killed { supervisor: SUPERVISORS[at].to_string() });
         self.fleet.addresses.set(at, None);
--- a/crates/supervisor/tests/tools.rs
+++ b/crates/supervisor/tests/tools.rs
@@ -197,3 +197,48 @@
     let line: serde_json::Value = serde_json::from_str(said.lines().next().expect("a line")).expect("JSON");
     assert_eq!((code, line["level"].as_str()), (Some(1), Some("ERROR")), "{said}");
 }
+
+/// Experiments from the command line: a scenario once, faults with their places, an experiment that is not played twice.
+#[tokio::test]
+async fn the_laboratory_plays_compares_and_tells_faults() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let program = Program::new(PROGRAM, directory.path());
+    let file = |name: &str, text: &str| {
+        let path = directory.path().join(name);
+        std::fs::write(&path, text).expect("a text");
+        path.display().to_string()
+    };
+    let scenario = file(
+        "s.txtpb",
+        "name: 'small' seconds: 8\nkind { servers: 4 }\nclass { name: 'read' work_ms: 40 }\ntrouble { sort: SLOW at_s: 2 part: 0.5 size: 6 }\n",
+    );
+    let (code, out, said) = program.tool(&["lab", "play", &scenario, "--seed", "3"]).await;
+    assert!(code == Some(0) && said.is_empty(), "{said}");
+    assert!(out.contains("small: 4 servers") && out.contains("service") && !out.contains("RULE"), "{out}");
+    let wrong = file(
+        "w.txtpb",
+        "kind { servers: 4 }\nclass { }\nclients { try_share: 7 }\nrules { fall_multiple: 0 }\n",
+    );
+    let (code, _, said) = program.tool(&["lab", "play", &wrong]).await;
+    assert!(code == Some(1) && said.contains("w.txtpb:3:11: try_share is 7"), "{said}");
+    assert!(said.contains("w.txtpb:4:9: fall_multiple is 0"), "all faults at once: {said}");
+    let experiment = file(
+        "e.txtpb",
+        "name: 'e' case { file: 's.txtpb' }\nvariant { name: 'module' } variant { name: 'fixed' control: FIXED }\n\
+         precision { pilot: 3 most: 3 half_width: 0.5 }\n",
+    );
+    let results = directory.path().join("out").display().to_string();
+    let (code, out, said) =
+        program.tool(&["lab", "run", &experiment, "--out", &results, "--threads", "2"]).await;
+    assert!(code == Some(0) && out.contains("fixed") && out.contains("report.html"), "{out} {said}");
+    let lines = || {
+        std::fs::read_to_string(directory.path().join("out/results.jsonl")).expect("results").lines().count()
+    };
+    assert_eq!(lines(), 6);
+    let (_, again, _) = program.tool(&["lab", "run", &experiment, "--out", &results]).await;
+    assert!(again.contains("6 runs are there already") && lines() == 6, "{again}");
+    let (code, compared, _) = program.tool(&["lab", "compare", &experiment, "--out", &results]).await;
+    assert!(code == Some(0) && again.contains(compared.trim_end()), "{compared}");
+    let page = std::fs::read_to_string(directory.path().join("out/report.html")).expect("the report");
+    assert!(page.contains("<svg") && !page.contains("http"), "the page needs nothing from elsewhere");
+}
