Earlier builds as variants: the engine asks another program over the simulator's wire

Change: the engine asks whatever decides (`Decides`); crates/adapter/other.rs starts a program and speaks the other side of the wire; settings are written as the JSON that they are read from; a variant names a `sim` command, whose digest keeps results apart, and a program that fails ends the experiment with a sentence.

--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod codec;
 pub mod host;
+pub mod other;
--- /dev/null
+++ b/crates/adapter/src/other.rs
@@ -0,0 +1,300 @@
+//! The other side of the wire: another build of the adapter as a child process, asked in the module's place. For comparison
+//! on the fleet model only.
+
+use std::io::{BufRead as _, BufReader, Write as _};
+use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
+use std::sync::{Arc, Mutex};
+
+use chutegrade_engine::Decides;
+use chutegrade_policy::interface::*;
+use chutegrade_settings::{to_json, Names};
+
+/// Added to times that are written, in milliseconds: a reader that cuts off what is below a microsecond gets the same one.
+const ABOVE: f64 = 0.000_25;
+
+/// Why another build can't be asked any more.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// It does not start, or has ended.
+    #[error("the other build: {0}")]
+    Io(#[from] std::io::Error),
+    /// It said what is no action.
+    #[error("the other build said {0:?}")]
+    Said(String),
+}
+
+/// The first fault of all processes that share it.
+pub type Faults = Arc<Mutex<Option<String>>>;
+
+/// One instance of the decisions in a process of another build.
+pub struct Other {
+    child: Child,
+    input: ChildStdin,
+    output: BufReader<ChildStdout>,
+    frame: u64,
+    list: u64,
+    begin: Option<String>,
+    faults: Faults,
+}
+
+impl Drop for Other {
+    fn drop(&mut self) {
+        // It ends with its input; one that does not is ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn ms(of: Micros) -> f64 {
+    of.0 as f64 / 1000.0 + ABOVE
+}
+
+fn load(of: &Load) -> String {
+    let pairs =
+        [("inflight", of.inflight), ("queue", of.queue), ("util", of.util), ("latency_ms", of.latency_ms)];
+    let told: Vec<String> =
+        pairs.iter().filter_map(|(name, value)| Some(format!("{name}:{}", (*value)?))).collect();
+    if told.is_empty() {
+        String::new()
+    } else {
+        format!("\thealthInfo={}", told.join(","))
+    }
+}
+
+fn entry(of: &Entry) -> String {
+    let life = match of.life {
+        Lifecycle::InService => "in_service",
+        Lifecycle::Draining => "terminating",
+        Lifecycle::Gone => "terminated",
+    };
+    let started = of.started.map(|at| format!("\tupSinceMs={}", ms(at))).unwrap_or_default();
+    let (server, zone, kind, cell) = (of.server.0, of.zone.0, of.kind, of.cell);
+    format!("row\tserver={server}\tlocality={zone}\tfamilyType={kind}\tcluster={cell}\tlifecycle={life}\tweight={}{started}\n", of.weight)
+}
+
+/// An event as lines; nothing for what the wire has no words for.
+fn lines(event: &Event, list: u64) -> String {
+    match event {
+        Event::Members(kind, entries) => {
+            let how = match kind {
+                ListKind::Changes => "incr",
+                ListKind::Complete => "total",
+                ListKind::WarmCopy => "warm_copy",
+                ListKind::Lost => "lost",
+            };
+            let rows: String = entries.iter().map(entry).collect();
+            format!("discovery\tgen={list}\thow={how}\trows={}\n{rows}", entries.len())
+        }
+        Event::Joined { proxy, zone, rate, brought } => {
+            let new = u8::from(!brought);
+            format!("joined\tclientLb={}\tlocality={}\tweight={rate}\tactive={new}\n", proxy.0, zone.0)
+        }
+        Event::Left(proxy) => format!("lost_stream\tclientLb={}\n", proxy.0),
+        Event::Heard { zone, server, tries, failed, mean_ms, period, load: of } => format!(
+            "tally\tlocality={}\tserver={}\ttotal={tries}\tbad={failed}\tcostTimeMs={mean_ms}\tperiodLenMs={}{}\n",
+            zone.0,
+            server.0,
+            ms(*period),
+            load(of)
+        ),
+        Event::Usage { proxy, class, came, failed, period } => format!(
+            "usage\tclientLb={}\tprofile={}\ttotal={came}\tbad={failed}\tperiodLenMs={}\n",
+            proxy.0,
+            class.0,
+            ms(*period)
+        ),
+        Event::Receipt { proxy, mark, took } => {
+            format!("receipt\tclientLb={}\tgen={mark}\tcostTimeMs={}\n", proxy.0, ms(*took))
+        }
+        Event::Probed { server, end, took, load: of } => {
+            let ending = match end {
+                ProbeEnd::Done => "done",
+                ProbeEnd::Error => "err",
+                ProbeEnd::Busy => "busy",
+                ProbeEnd::TimedOut => "etimedout",
+                ProbeEnd::Unreachable => "econnrefused",
+                ProbeEnd::Other => "skipped",
+            };
+            format!("health\tserver={}\tending={ending}\tcostTimeMs={}{}\n", server.0, ms(*took), load(of))
+        }
+        Event::Timer(id) => format!("ring\thandle={id}\n"),
+        // Slices, messages between instances and advice do not come up on the model's wire.
+        Event::SliceUsage { .. } | Event::Tenure { .. } | Event::Held { .. } | Event::Peer { .. } | Event::Advice(_) => {
+            String::new()
+        }
+    }
+}
+
+/// A line of a reply as an action; nothing for what does not concern the model.
+fn action(line: &str) -> Result<Option<Action>, Fault> {
+    let said = || Fault::Said(line.chars().take(80).collect());
+    let mut parts = line.split('\t');
+    let tag = parts.next().unwrap_or_default();
+    let part = |key: &str| {
+        let found = line.split('\t').skip(1).find_map(|part| part.strip_prefix(key)?.strip_prefix('='));
+        found
+            .and_then(|text| text.parse::<f64>().ok())
+            .filter(|of| of.is_finite() && *of >= 0.0)
+            .ok_or_else(said)
+    };
+    let table = || Ok::<_, Fault>(part("mapId")? as u16);
+    let server = || Ok::<_, Fault>(ServerId(part("server")? as u32));
+    Ok(Some(match tag {
+        "endpoint" => Action::Line { table: TableId(table()?), server: server()?, weight: part("weight")? },
+        "wipe" => Action::Clear(TableId(table()?)),
+        "point" => Action::Bind {
+            proxy: ProxyId(part("clientLb")? as u32),
+            table: TableId(table()?),
+            classes: ClassSet(part("classBits")? as u32),
+        },
+        "suspend" => Action::Withdraw { server: server()?, out: part("active")? > 0.0 },
+        "allow" => Action::Admit {
+            table: Some(table()?).filter(|of| *of != u16::MAX).map(TableId),
+            classes: ClassSet(part("classBits")? as u32),
+            level: part("allowance")?,
+            retry: match part("secondTry")? as u8 {
+                1 => Retry::Unrun,
+                2 => Retry::Once,
+                3 => Retry::Twice,
+                _ => Retry::Never,
+            },
+        },
+        "ask_receipt" => Action::Mark { mark: part("gen")? as u16, everyone: part("active")? > 0.0 },
+        "ping" => Action::Probe(server()?),
+        "subscribe" => Action::Subscribe(part("active")? > 0.0),
+        "list_all" => Action::FetchList,
+        "arm" => {
+            let after = Micros((part("fromNowMs")? * 1000.0).round() as i64);
+            Action::Timer { id: part("handle")? as u32, after }
+        }
+        "source" | "write_log" | "notify" => return Ok(None),
+        _ => return Err(said()),
+    }))
+}
+
+impl Other {
+    /// Starts a program that speaks the wire on its standard input and output.
+    pub fn start(
+        command: &str,
+        settings: &Settings,
+        names: &Names,
+        seed: u64,
+        faults: Faults,
+    ) -> Result<Self, Fault> {
+        let mut words = command.split_whitespace();
+        let program = words.next().unwrap_or_default();
+        let mut child = Command::new(program)
+            .args(words)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
+        let gone = || std::io::Error::other("its standard input or output is not there");
+        let (input, output) = (child.stdin.take().ok_or_else(gone)?, child.stdout.take().ok_or_else(gone)?);
+        let begin = Some(format!("begin\tnonce64={seed}\tenv={}\n", to_json(settings, names)));
+        Ok(Other { child, input, output: BufReader::new(output), frame: 0, list: 0, begin, faults })
+    }
+
+    fn ask(&mut self, now: Micros, events: &[Event]) -> Result<Vec<Action>, Fault> {
+        self.frame += 1;
+        let mut batch = format!("frame\tatTimeMs={}\tframe={}\nat\tsupervisor=0\n", ms(now), self.frame);
+        batch += &self.begin.take().unwrap_or_default();
+        for event in events {
+            self.list += 1;
+            batch += &lines(event, self.list);
+        }
+        batch += "your_turn\n";
+        self.input.write_all(batch.as_bytes())?;
+        self.input.flush()?;
+        let mut actions = Vec::new();
+        let mut line = String::new();
+        loop {
+            line.clear();
+            if self.output.read_line(&mut line)? == 0 {
+                return Err(std::io::Error::other("it has ended").into());
+            }
+            let said = line.trim_end();
+            if said.starts_with("end\t") {
+                return Ok(actions);
+            }
+            actions.extend(action(said)?);
+        }
+    }
+}
+
+impl Decides for Other {
+    fn handle(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
+        self.ask(now, events).unwrap_or_else(|fault| {
+            if let Ok(mut known) = self.faults.lock() {
+                known.get_or_insert(fault.to_string());
+            }
+            Vec::new()
+        })
+    }
+}
+
+/// Where the first process does not start there is nothing to ask: it orders nothing, and the fault is told.
+pub struct Nothing;
+
+impl Decides for Nothing {
+    fn handle(&mut self, _: Micros, _: &[Event]) -> Vec<Action> {
+        Vec::new()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Danger: what goes over the wire is not what was decided.
+    #[test]
+    fn actions_that_are_written_read_the_same() {
+        let all = [
+            Action::Line { table: TableId(7), server: ServerId(40), weight: 0.123_456_789 },
+            Action::Clear(TableId(3)),
+            Action::Bind { proxy: ProxyId(9), table: TableId(1), classes: ClassSet(5) },
+            Action::Withdraw { server: ServerId(1), out: true },
+            Action::Admit { table: None, classes: ClassSet(0), level: 0.75, retry: Retry::Unrun },
+            Action::Admit { table: Some(TableId(2)), classes: ClassSet(2), level: 1.0, retry: Retry::Twice },
+            Action::Mark { mark: 65_000, everyone: false },
+            Action::Probe(ServerId(3)),
+            Action::Timer { id: 4, after: Micros(1_000_001) },
+        ];
+        for of in all {
+            let line = crate::codec::write(&of).expect("a line");
+            assert_eq!(action(&line).expect("an action"), Some(of));
+        }
+        assert!(action("endpoint\tmapId=1").is_err() && action("internal_error\twhat=x").is_err());
+    }
+
+    #[test]
+    fn events_that_are_written_read_the_same() {
+        let load = Load { queue: Some(3.5), latency_ms: Some(1.25), ..Load::default() };
+        let all = [
+            Event::Left(ProxyId(3)),
+            Event::Heard {
+                zone: ZoneId(1),
+                server: ServerId(2),
+                tries: 7.0,
+                failed: 1.0,
+                mean_ms: 12.345,
+                period: Micros(1_000_001),
+                load,
+            },
+            Event::Usage {
+                proxy: ProxyId(1),
+                class: ClassId(2),
+                came: 4.0,
+                failed: 0.0,
+                period: Micros(999_999),
+            },
+            Event::Receipt { proxy: ProxyId(5), mark: 77, took: Micros(123_457) },
+            Event::Probed { server: ServerId(8), end: ProbeEnd::TimedOut, took: Micros(300_000), load },
+            Event::Timer(6),
+        ];
+        for of in all {
+            let line = lines(&of, 1);
+            assert_eq!(crate::codec::parse(line.trim_end()), Ok(crate::codec::Message::Event(of)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/adapter/tests/other.rs
@@ -0,0 +1,52 @@
+//! Another build behind the simulator's wire, on the fleet model: the same build orders the same, and one that fails is told.
+
+use std::sync::Arc;
+
+use chutegrade_adapter::other::{Faults, Nothing, Other};
+use chutegrade_engine::{Decides, Settings};
+use chutegrade_model::{play, scenario, Setup};
+use chutegrade_settings::Names;
+
+const FLEET: &str = "seconds: 14 zone: 'a' zone: 'b' kind { servers: 10 cores: 2 } front_ends { count: 6 }\n\
+    class { name: 'read' share: 2 work_ms: 50 } class { name: 'order' work_ms: 80 effect: UNSAFE } load { level: 0.6 }\n\
+    trouble { sort: SLOW at_s: 4 length_s: 6 part: 0.3 size: 6 } trouble { sort: CRASH at_s: 6 length_s: 4 part: 0.1 }\n\
+    trouble { sort: REPLACE at_s: 5 length_s: 3 part: 0.2 size: 3 extra: 4 }";
+
+fn by(command: &str, faults: &Faults) -> Setup {
+    let (command, faults, name) = (command.to_string(), Arc::clone(faults), command.to_string());
+    let make = move |settings: &Settings, seed: u64| -> Box<dyn Decides> {
+        let names = Names {
+            zones: vec!["a".into(), "b".into()],
+            classes: vec!["read".into(), "order".into()],
+            kinds: Vec::new(),
+        };
+        match Other::start(&command, settings, &names, seed, Arc::clone(&faults)) {
+            Ok(other) => Box::new(other),
+            Err(_) => Box::new(Nothing),
+        }
+    };
+    Setup { other: Some(chutegrade_model::Other { name, make: Arc::new(make) }), ..Setup::default() }
+}
+
+/// Danger: a comparison of builds that compares the wire instead.
+#[test]
+fn the_same_build_over_the_wire_gives_the_same_day_to_the_bit() {
+    let scenario = scenario::read(FLEET).unwrap_or_else(|faults| panic!("{faults:?}"));
+    let faults = Faults::default();
+    let direct = play(&scenario, &Setup::default(), 3);
+    let over_the_wire = play(&scenario, &by(env!("CARGO_BIN_EXE_chutegrade-adapter"), &faults), 3);
+    assert_eq!(faults.lock().expect("no panic").clone(), None);
+    assert!(direct.figure("channel") > 0.0, "it orders");
+    assert_eq!(direct, over_the_wire);
+}
+
+#[test]
+fn a_program_that_says_nonsense_or_ends_is_told() {
+    let scenario = scenario::read(FLEET).unwrap_or_else(|faults| panic!("{faults:?}"));
+    for (command, wanted) in [("/bin/cat", "the other build said"), ("/bin/true", "the other build: ")] {
+        let faults = Faults::default();
+        play(&scenario, &by(command, &faults), 1);
+        let said = faults.lock().expect("no panic").clone().unwrap_or_default();
+        assert!(said.starts_with(wanted), "{command}: {said}");
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -155,9 +155,42 @@
     pub fetch: bool,
 }
 
+/// What decides behind the engine: the module of this build, or another build's, for comparison on the fleet model.
+pub trait Decides {
+    /// Takes one batch in, and orders.
+    fn handle(&mut self, now: Micros, events: &[Event]) -> Vec<Action>;
+    /// The fleet in figures; nothing where it can't be told.
+    fn figures(&self) -> Figures {
+        Figures::default()
+    }
+    /// Joined proxies.
+    fn joined(&self) -> usize {
+        0
+    }
+    /// All servers as they stand.
+    fn standings(&self) -> Vec<(ServerId, Standing)> {
+        Vec::new()
+    }
+}
+
+impl Decides for Policy {
+    fn handle(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
+        Policy::handle(self, now, events)
+    }
+    fn figures(&self) -> Figures {
+        Policy::figures(self)
+    }
+    fn joined(&self) -> usize {
+        Policy::joined(self)
+    }
+    fn standings(&self) -> Vec<(ServerId, Standing)> {
+        Policy::standings(self).collect()
+    }
+}
+
 /// The decisions and all that is needed to carry them out.
 pub struct Engine {
-    policy: Policy,
+    policy: Box<dyn Decides>,
     names: Names,
     classes: Vec<ClassView>,
     proxies: usize,
@@ -184,6 +217,18 @@
         zones: Vec<String>,
         classes: Vec<String>,
         kinds: Vec<String>,
+    ) -> Self {
+        let policy = Policy::new(settings.clone(), seed);
+        Engine::with(Box::new(policy), &settings, zones, classes, kinds)
+    }
+
+    /// The same with another build's decisions, which know the same settings.
+    pub fn with(
+        policy: Box<dyn Decides>,
+        settings: &Settings,
+        zones: Vec<String>,
+        classes: Vec<String>,
+        kinds: Vec<String>,
     ) -> Self {
         let view = |(class, name): (&Class, &String)| {
             let effect = match class.effect {
@@ -200,7 +245,7 @@
             zones: settings.zones,
             tables: Tables::new(settings.classes.len()),
             list: ListWish { watch: !settings.list_on_request, fetch: false },
-            policy: Policy::new(settings, seed),
+            policy,
             streams: Streams::default(),
             events: Vec::new(),
             timers: BTreeSet::new(),
@@ -425,7 +470,11 @@
 
     /// The fleet in figures, as it stands after the last tick.
     pub fn gauge(&self) -> pb::Gauge {
-        notes::gauge(self.policy.figures(), self.policy.joined(), self.policy.standings().map(|of| of.1))
+        notes::gauge(
+            self.policy.figures(),
+            self.policy.joined(),
+            self.policy.standings().into_iter().map(|of| of.1),
+        )
     }
 
     /// All servers, as they stand after the last tick.
@@ -434,7 +483,7 @@
             notes::server(self.server_name(id), self.names.zone_name(of.entry.zone), &of)
         };
         pb::Fleet {
-            servers: self.policy.standings().map(named).collect(),
+            servers: self.policy.standings().into_iter().map(named).collect(),
             classes: self.classes.iter().map(|class| class.name.clone()).collect(),
         }
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,7 +10,7 @@
 mod streams;
 mod tables;
 
-pub use engine::{Advised, ClassView, Engine, ListWish, Probe, Report, Unknown};
+pub use engine::{Advised, ClassView, Decides, Engine, ListWish, Probe, Report, Unknown};
 pub use names::Listed;
 pub use notes::{told, Noted};
 pub use order::{Order, Part};
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -2,9 +2,14 @@
 //! variant each.
 
 use std::path::Path;
+use std::sync::Arc;
+
+use chutegrade_adapter::other::{self as process, Faults};
+use chutegrade_engine::{Decides, Settings};
 
 use chutegrade_model::scenario::{changed, digest, parse, pb as model, Scenario};
-use chutegrade_model::{Control, Setup};
+use chutegrade_model::{Control, Other, Setup};
+use chutegrade_settings::Names;
 use chutegrade_textproto::{find, Wrong};
 use prost_reflect::{DynamicMessage, ReflectMessage as _, Value};
 
@@ -23,13 +28,21 @@
 const RUNS_MOST: u32 = 100_000;
 
 /// What is compared.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Variant {
     /// Its name.
     pub name: String,
     /// What decides, and by which rules.
     pub setup: Setup,
     change: model::Scenario,
+    faults: Faults,
+}
+
+impl Variant {
+    /// What another build's process met first that ended it.
+    pub fn fault(&self) -> Option<String> {
+        self.faults.lock().ok().and_then(|fault| fault.clone())
+    }
 }
 
 /// How sure to be.
@@ -130,6 +143,7 @@
             name: "as it is".into(),
             setup: Setup::default(),
             change: Default::default(),
+            faults: Faults::default(),
         });
     }
     for of in &written.sweep {
@@ -221,21 +235,50 @@
     };
     let text = |file: &String| Ok((file.clone(), read_text(directory, file)?));
     let plugins = of.plugin.iter().map(text).collect::<Result<Vec<_>, String>>()?;
-    let setup = Setup { control, plugins };
+    let faults = Faults::default();
+    let other = of.sim.as_ref().map(|command| other(command, &faults)).transpose()?;
+    let setup = Setup { control, plugins, other };
     setup.check()?;
     Ok(Variant {
+        faults,
         name: of.name.clone().unwrap_or_else(|| format!("variant-{}", number + 1)),
         setup,
         change: of.change.clone().unwrap_or_default(),
     })
 }
 
+/// Another build by its command; its name holds a digest of the program, so that results of one are never taken for another's.
+fn other(command: &str, faults: &Faults) -> Result<Other, String> {
+    let program = command.split_whitespace().next().unwrap_or_default();
+    let bytes = std::fs::read(program).map_err(|fault| format!("{program:?}: {fault}"))?;
+    let name = format!("{command} {}", blake3::hash(&bytes).to_hex());
+    let (command, faults) = (command.to_string(), Arc::clone(faults));
+    let make = move |settings: &Settings, seed: u64| -> Box<dyn Decides> {
+        let numbered = |prefix: &str, count: usize| (0..count).map(|n| format!("{prefix}{n}")).collect();
+        let names = Names {
+            zones: numbered("z", settings.zones),
+            classes: numbered("c", settings.classes.len()),
+            kinds: Vec::new(),
+        };
+        match process::Other::start(&command, settings, &names, seed, Arc::clone(&faults)) {
+            Ok(other) => Box::new(other),
+            Err(fault) => {
+                if let Ok(mut known) = faults.lock() {
+                    known.get_or_insert(fault.to_string());
+                }
+                Box::new(process::Nothing)
+            }
+        }
+    };
+    Ok(Other { name, make: Arc::new(make) })
+}
+
 /// The first variant with a field set to each of some values.
 fn sweep(of: &pb::Sweep, base: &Variant) -> Result<Vec<Variant>, String> {
     let path = of.field();
     let set = |value: &f64| {
         let change = set(&base.change, path, *value)?;
-        Ok(Variant { name: format!("{path} {value}"), setup: base.setup.clone(), change })
+        Ok(Variant { name: format!("{path} {value}"), change, ..base.clone() })
     };
     of.value.iter().map(set).collect()
 }
@@ -281,6 +324,7 @@
     let mut hasher = blake3::Hasher::new();
     hasher.update(scenario.as_bytes());
     hasher.update(format!("{:?}", setup.control).as_bytes());
+    hasher.update(setup.other.as_ref().map_or("", |other| other.name.as_str()).as_bytes());
     for (_, text) in &setup.plugins {
         hasher.update(&(text.len() as u64).to_le_bytes());
         hasher.update(text.as_bytes());
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -101,6 +101,9 @@
         for some in missing.chunks(lot.max(1)) {
             let results: Vec<Result> =
                 some.par_iter().map(|(arm, seed)| one(plan, arm, build, *seed)).collect();
+            if let Some(said) = plan.variants.iter().find_map(|variant| variant.fault()) {
+                return Err(Fault::Other(said));
+            }
             done += results.len();
             store.add(results)?;
             if !tell(Progress { done, wanted: wanted.len(), look: (look, looks) }) {
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -43,6 +43,9 @@
     /// It can't be read or written.
     #[error("{0}: {1}")]
     Io(PathBuf, std::io::Error),
+    /// Another build's program failed; nothing of the lot is kept.
+    #[error("{0}")]
+    Other(String),
     /// A line in its middle is none of ours.
     #[error("{0}:{1}: no result: {2}")]
     Line(PathBuf, usize, String),
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -18,3 +18,4 @@
 pub use measure::Outcome;
 pub use scenario::Scenario;
 pub use sim::{play, run, Control, Run, Setup};
+pub use supervisor::Other;
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -289,13 +289,17 @@
         let zone = supervisor % self.scenario.zones.len();
         let seed = Chance::new(self.seed, Source::Supervisors, supervisor * 1000 + epoch as usize).number();
         let names = |names: &mut dyn Iterator<Item = &String>| names.cloned().collect::<Vec<String>>();
-        let engine = Box::new(Engine::new(
-            self.scenario.settings(zone),
-            seed,
-            self.scenario.zones.clone(),
-            names(&mut self.scenario.classes.iter().map(|class| &class.name)),
-            names(&mut self.scenario.kinds.iter().map(|kind| &kind.name)),
-        ));
+        let settings = self.scenario.settings(zone);
+        let zones = self.scenario.zones.clone();
+        let classes = names(&mut self.scenario.classes.iter().map(|class| &class.name));
+        let kinds = names(&mut self.scenario.kinds.iter().map(|kind| &kind.name));
+        let engine = Box::new(match &self.setup.other {
+            Some(other) => {
+                let decides = (other.make)(&settings, seed);
+                Engine::with(decides, &settings, zones, classes, kinds)
+            }
+            None => Engine::new(settings, seed, zones, classes, kinds),
+        });
         Mind::Engine(engine, Box::new(self.setup.rules()))
     }
 
--- a/crates/model/src/supervisor.rs
+++ b/crates/model/src/supervisor.rs
@@ -3,9 +3,12 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use chutegrade_advice::Rules;
-use chutegrade_engine::{Engine, Lifecycle, Listed, Load, Micros, Order, Part, Report};
+use chutegrade_engine::{Decides, Engine, Lifecycle, Listed, Load, Micros, Order, Part, Report};
+
+use chutegrade_policy::interface::Settings;
 
 use crate::scenario::Scenario;
 use crate::server::Server;
@@ -24,11 +27,37 @@
     Ideal(u32),
 }
 
+/// What makes another build's decisions, from settings and a seed.
+pub type Make = dyn Fn(&Settings, u64) -> Box<dyn Decides> + Send + Sync;
+
+/// Another build's decisions in the module's place.
+#[derive(Clone)]
+pub struct Other {
+    /// What tells it from others.
+    pub name: String,
+    /// What makes them for each start of a supervisor.
+    pub make: Arc<Make>,
+}
+
+impl std::fmt::Debug for Other {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.name)
+    }
+}
+
+impl PartialEq for Other {
+    fn eq(&self, other: &Self) -> bool {
+        self.name == other.name
+    }
+}
+
 /// What decides at all supervisors, and by which rules of the operators.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Setup {
     /// What decides.
     pub control: Control,
+    /// Another build's module, where the control is the module.
+    pub other: Option<Other>,
     /// Texts of plug-ins, with the names of their files; only the module takes advice.
     pub plugins: Vec<(String, String)>,
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,7 +2,7 @@
 //! reports. One parser for the simulator's adapter and the real supervisor; nothing here decides anything.
 
 use chutegrade_policy::interface::*;
-use serde_json::Value;
+use serde_json::{json, Value};
 
 /// Why settings could not be read.
 #[derive(Debug, thiserror::Error)]
@@ -155,6 +155,65 @@
     })
 }
 
+/// Writes settings as the JSON object that [`from_json`] reads, for a program of another build.
+pub fn to_json(settings: &Settings, names: &Names) -> Value {
+    let ms = |of: Micros| of.0 as f64 / 1000.0;
+    let class = |(of, name): (&Class, &String)| {
+        let (effect, scope, window) = match of.effect {
+            Effect::Safe => ("read_like", "all", 0.0),
+            Effect::Keyed(Scope::All, window) => ("idempotency_key", "all", ms(window)),
+            Effect::Keyed(Scope::Zone, window) => ("idempotency_key", "zone", ms(window)),
+            Effect::Keyed(Scope::Cell, window) => ("idempotency_key", "cell", ms(window)),
+            Effect::Unsafe => ("non_idempotent", "all", 0.0),
+        };
+        json!({"name": name, "aimMs": ms(of.aim), "hardLimitMs": ms(of.deadline), "worth": of.worth, "effect": effect,
+               "dedupScope": scope, "windowMs": window})
+    };
+    let classes: Vec<Value> = settings.classes.iter().zip(&names.classes).map(class).collect();
+    let home_only: Vec<bool> = settings.classes.iter().map(|class| class.home_only).collect();
+    let pick = match settings.pick {
+        Pick::Random => "random",
+        Pick::Rotate => "rotate",
+        Pick::LeastOfTwo => "p2c",
+    };
+    let listed = match settings.listed {
+        Listed::Silent => "silent",
+        Listed::Nominal => "nominal",
+        Listed::Rough => "rough",
+        Listed::Live => "live",
+    };
+    let reports = match settings.reports {
+        ReportSource::Answers => "piggyback",
+        ReportSource::Probes => "pull",
+        ReportSource::None => "silent",
+    };
+    let levels = match settings.levels {
+        LevelKind::Fraction => "fraction",
+        LevelKind::PerSecond => "per_second",
+        LevelKind::Silent => "silent",
+    };
+    json!({
+        "peersTotal": settings.instances, "zones": names.zones, "kinds": names.kinds, "locality": settings.zone.0,
+        "classes": classes, "weights": listed, "report": {"source": reports},
+        "discovery": if settings.list_on_request { "subscribe" } else { "automatic" },
+        "prices": {"probe": settings.probe_price, "crossZone": settings.cross_price},
+        "limits": {"probes": settings.probes, "idleCloseMs": ms(settings.idle_close)},
+        "familyInfo": {
+            "homeOnly": home_only, "proxies": settings.proxies, "shards": settings.slices,
+            "soleOwner": settings.sole_owner, "tenureMs": ms(settings.lease), "inFlightMaxMs": ms(settings.settle),
+            "levelKind": levels, "usualHow": settings.usual_retry as u8, "firstWait": settings.first_wait, "pick": pick,
+            "outlierAfter": settings.proxy_ejects_after, "cycleMs": ms(settings.report_period),
+            "backlog": settings.backlog, "linesPerS": settings.lines_per_s, "fixedCost": settings.message_head,
+            "pushDelayMaxMs": ms(settings.way_most), "messagesMost": settings.messages_most,
+            "updateWindowMs": ms(settings.messages_window), "unservedMaxMs": ms(settings.unserved_most)},
+        "guarantees": {
+            "askEveryMs": ms(settings.ask_every), "drainGraceMs": ms(settings.drain_grace),
+            "drainBindsAlone": settings.drain_binds_alone, "coldFrom": settings.cold_from,
+            "coldMs": ms(settings.cold_for), "fallMultiple": settings.fall_multiple,
+            "overloadForMs": ms(settings.fall_window)},
+    })
+}
+
 fn class_of(json: &Value, home_only: bool) -> Class {
     let num = |key: &str| json.get(key).and_then(Value::as_f64).unwrap_or(0.0);
     let word = |key: &str| json.get(key).and_then(Value::as_str).unwrap_or("");
@@ -221,6 +280,16 @@
         assert_eq!(tick_ms(&json), 4.0);
     }
 
+    /// Danger: another build that is asked for comparison is told other settings than the module.
+    #[test]
+    fn settings_that_are_written_read_the_same() {
+        let json: Value = serde_json::from_str(TEXT).expect("JSON");
+        let settings = from_json(&json).expect("settings");
+        let written = to_json(&settings, &names(&json));
+        assert_eq!(from_json(&written), Ok(settings));
+        assert_eq!(names(&written), names(&json));
+    }
+
     #[test]
     fn what_is_absent_reads_as_nothing() {
         let none = from_text("{}").expect("settings");
--- a/crates/supervisor/src/lab.rs
+++ b/crates/supervisor/src/lab.rs
@@ -86,7 +86,7 @@
         Decider::Nobody => Control::Nobody,
         Decider::Ideal => Control::Ideal(IDEAL_LATE_MS),
     };
-    let setup = Setup { control, plugins: plugins::read(texts)? };
+    let setup = Setup { control, plugins: plugins::read(texts)?, other: None };
     setup.check().map_err(Fault::Said)?;
     let begun = std::time::Instant::now();
     let outcome = play(&scenario, &setup, seed);
