--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -46,6 +46,7 @@
     pub cancel: Cancel,
     pub thrash: f64,
     pub thrash_at: f64,
+    pub full_tax: f64,
 }
 
 /// A class of requests.
@@ -258,6 +259,7 @@
         },
         thrash: c.figure("thrash", of.thrash, 0.1, 0.0, 100.0),
         thrash_at: c.figure("thrash_at", of.thrash_at, 5.0, 0.0, 10_000.0),
+        full_tax: c.share("full_tax", of.full_tax, 0.2),
     }
 }
 
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -102,6 +102,8 @@
     queue: usize,
     cold: (f64, u64),
     thrash: (f64, f64),
+    /// Connections at most, and what is lost when all are open.
+    full: (f64, f64),
     /// Work done for each request since the server was last idle, in milliseconds.
     done: f64,
     at_us: u64,
@@ -135,6 +137,7 @@
             queue: kind.queue,
             cold: (kind.cold_from, kind.cold_us),
             thrash: (kind.thrash, kind.thrash_at),
+            full: (f64::from(kind.connections), kind.full_tax),
             done: 0.0,
             at_us: 0,
             working: BTreeMap::new(),
@@ -170,7 +173,9 @@
         if !self.runs() || self.effects.hangs {
             return 0.0;
         }
-        self.cores * self.speed * self.warmth(now) * (1.0 - self.effects.taken) / self.effects.slow
+        let (most, tax) = self.full;
+        let open = 1.0 - tax * (f64::from(self.connections) / most).min(1.0);
+        self.cores * self.speed * open * self.warmth(now) * (1.0 - self.effects.taken) / self.effects.slow
     }
 
     /// Work that it can do in a second as far as its start goes, troubles aside: nobody is blamed for a cold server that a
@@ -390,6 +395,17 @@
         assert_eq!(server.next_us(2_000), Some(12_000));
     }
 
+    #[test]
+    fn open_connections_cost_capacity() {
+        let (mut server, _) = server(2, 4.0, 4.0);
+        let free = server.capacity(0);
+        server.connections = 110;
+        assert!(
+            (server.capacity(0) - 0.9 * free).abs() < 1e-9,
+            "half of 220 connections cost half of a fifth"
+        );
+    }
+
     #[test]
     fn cold_slow_and_hanging_servers_do_less() {
         let (mut server, keys) = server(2, 4.0, 4.0);
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -812,6 +812,7 @@
                 self.reply(key, zones, 0, End::Unrun);
                 return;
             }
+            server.advance(self.now);
             server.connections += 1;
         }
         let abandoned = attempt.abandoned;
@@ -1583,6 +1584,7 @@
                     of.inflight > 0 || (named && !front.is_withdrawn(*server) && of.used_us + idle > now);
                 if !kept {
                     let server = &mut self.servers[*server as usize];
+                    server.advance(now);
                     server.connections = server.connections.saturating_sub(1);
                 }
                 kept
