Kept scenarios in a folder that git keeps; reports by scenario, coloured by good and bad

Cause: scenarios/found fell under the pattern for the bench's own found/, so a clean checkout lacked it and its test went red. In the reports names were cut off, and a shorter wait was shown in red. Change: scenarios/kept; a chart for each scenario on one scale, sentences for the first measure alone, colours by what is better.

--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -12,9 +12,16 @@
 
 const STYLE: &str = include_str!("report.css");
 /// Width and height of charts, and the room for names beside them, in pixels.
-const CHART: (f64, f64, f64) = (760.0, 180.0, 190.0);
+const CHART: (f64, f64, f64) = (760.0, 180.0, 270.0);
 /// Height of one bar of a chart of differences.
 const ROW: f64 = 26.0;
+/// Letters of a variant's name beside its bar; the table has the whole.
+const NAME_MOST: usize = 44;
+/// Beginnings of measures of which less is better.
+const LESS_IS_BETTER: [&str; 12] = [
+    "p50", "p90", "p99", "refused", "failed", "wasted", "backlog", "queue", "shut_out", "rules", "channel",
+    "comings",
+];
 /// Lines of a chart at most: more can't be told apart.
 const LINES_MOST: usize = 6;
 
@@ -35,6 +42,17 @@
     format!("{:+.digits$} ± {:.digits$}", of.difference.mean, of.difference.half)
 }
 
+/// Whether a difference is good, bad or neither: more service is good, a longer wait is not.
+fn colour(of: &Comparison) -> &'static str {
+    let less_is_better = LESS_IS_BETTER.iter().any(|name| of.measure.starts_with(name));
+    match (of.verdict, less_is_better) {
+        (Verdict::More, false) | (Verdict::Less, true) => "good",
+        (Verdict::More, true) | (Verdict::Less, false) => "bad",
+        (Verdict::Alike, _) => "alike",
+        (Verdict::Open, _) => "open",
+    }
+}
+
 /// Runs that are needed, of the first measure.
 fn wanted(of: &Comparison) -> String {
     of.needed.map_or_else(|| "-".to_string(), |runs| runs.to_string())
@@ -205,13 +223,13 @@
                     @if !plan.question.is_empty() { p.question { (plan.question) } }
                 }
                 main {
-                    section { h2 { "What it says" } (sentences(&all, &found)) }
+                    section { h2 { "What it says" } (sentences(&all, plan, &found)) }
                     @for measure in &plan.measures {
                         @let own: Vec<&Comparison> = all.iter().filter(|of| of.measure == *measure).collect();
                         @if !own.is_empty() {
                             section {
                                 h2 { "Difference in " (measure) " against " (plan.variants[0].name) }
-                                (forest(&own, precision.half_width))
+                                (forests(plan, measure, &own))
                             }
                         }
                     }
@@ -236,7 +254,14 @@
     .into_string()
 }
 
-fn sentences(all: &[Comparison], found: &[(String, String, String, u64, u64, String)]) -> Markup {
+fn sentences(
+    all: &[Comparison],
+    plan: &Plan,
+    found: &[(String, String, String, u64, u64, String)],
+) -> Markup {
+    // The first measure is what the experiment is about; the others are in the charts and the table.
+    let first = plan.measures.first();
+    let all: Vec<&Comparison> = all.iter().filter(|of| Some(&of.measure) == first).collect();
     let told = |of: &Comparison| {
         let sure = difference(of);
         match of.verdict {
@@ -260,7 +285,7 @@
     };
     html! {
         @if all.is_empty() { p { "There is one variant: nothing is compared." } }
-        ul { @for of in all { li class=(of.verdict.word().replace(' ', "-")) { (told(of)) } } }
+        ul { @for of in &all { li class=(colour(of)) { (told(of)) } } }
         @if found.is_empty() {
             p { "No rule was broken in any run." }
         } @else {
@@ -275,15 +300,34 @@
     format!("{value:.1}")
 }
 
+fn short(name: &str) -> String {
+    if name.chars().count() <= NAME_MOST {
+        return name.to_string();
+    }
+    let kept: String = name.chars().take(NAME_MOST - 1).collect();
+    format!("{kept}…")
+}
+
+/// A chart for each scenario, all on one scale.
+fn forests(plan: &Plan, measure: &str, all: &[&Comparison]) -> Markup {
+    // What counts as alike is asked for in the units of the first measure.
+    let is_first = plan.measures.first().is_some_and(|first| first == measure);
+    let half_width = if is_first { plan.precision.half_width } else { 0.0 };
+    let ends = all.iter().flat_map(|of| [of.difference.ends().0, of.difference.ends().1]);
+    let most = ends.filter(|end| end.is_finite()).map(f64::abs).fold(half_width * 1.5, f64::max).max(1e-9);
+    html! {
+        @for case in &plan.cases {
+            @let own: Vec<&Comparison> = all.iter().copied().filter(|of| of.case == *case).collect();
+            @if plan.cases.len() > 1 { h3 { (case) } }
+            (forest(&own, half_width, most))
+        }
+    }
+}
+
 /// Differences with their bars, and the band within which they count as alike.
-fn forest(all: &[&Comparison], half_width: f64) -> Markup {
+fn forest(all: &[&Comparison], half_width: f64, most: f64) -> Markup {
     let (width, _, names) = CHART;
-    let ends = all
-        .iter()
-        .flat_map(|of| [of.difference.ends().0, of.difference.ends().1])
-        .filter(|end| end.is_finite());
-    let most = ends.map(f64::abs).fold(half_width * 1.5, f64::max);
-    let x = |value: f64| names + (value.clamp(-most, most) + most) / (2.0 * most) * (width - names - 8.0);
+    let x = |value: f64| names + (value.clamp(-most, most) + most) / (2.0 * most) * (width - names - 40.0);
     let height = ROW * all.len() as f64 + 24.0;
     html! {
         svg viewBox=(format!("0 0 {width} {height}")) role="img" aria-label="differences with their bars" {
@@ -292,9 +336,9 @@
             @for (place, of) in all.iter().enumerate() {
                 @let y = ROW * (place as f64 + 0.5);
                 @let (low, high) = of.difference.ends();
-                text.name x=(r(names - 8.0)) y=(r(y + 4.0)) text-anchor="end" { (of.case) ": " (of.variant) }
-                line class=(format!("bar {}", of.verdict.word().replace(' ', "-"))) x1=(r(x(low))) x2=(r(x(high))) y1=(r(y)) y2=(r(y)) {}
-                circle class=(format!("dot {}", of.verdict.word().replace(' ', "-"))) cx=(r(x(of.difference.mean))) cy=(r(y)) r="4" {
+                text.name x=(r(names - 8.0)) y=(r(y + 4.0)) text-anchor="end" { (short(&of.variant)) }
+                line class=(format!("bar {}", colour(of))) x1=(r(x(low))) x2=(r(x(high))) y1=(r(y)) y2=(r(y)) {}
+                circle class=(format!("dot {}", colour(of))) cx=(r(x(of.difference.mean))) cy=(r(y)) r="4" {
                     title { (difference(of)) ", " (of.difference.runs) " runs" }
                 }
             }
@@ -372,7 +416,7 @@
                 td.n { (difference(of)) }
                 td.n { (format!("{:+.4} to {:+.4}", of.difference.bootstrap.0, of.difference.bootstrap.1)) }
                 td.n { (chance(of.p)) } td.n { (of.difference.runs) } td.n { (wanted(of)) }
-                td class=(of.verdict.word().replace(' ', "-")) { (of.verdict.word()) }
+                td class=(colour(of)) { (of.verdict.word()) }
             } } }
         }
     }
--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -124,7 +124,7 @@
 #[test]
 fn the_kept_scenarios_break_no_rule() {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios");
-    let mut files: Vec<_> = [folder.to_string(), format!("{folder}/found")]
+    let mut files: Vec<_> = [folder.to_string(), format!("{folder}/kept")]
         .iter()
         .flat_map(|folder| std::fs::read_dir(folder).expect("scenarios"))
         .map(|entry| entry.expect("an entry").path())
