Reread of the laboratory: words of the wire and reading of files in one place each

The two sides of the simulator's wire had their words twice, the commands read and wrote files in two ways, and the laboratory kept the same sums in two places.

--- a/crates/adapter/src/codec.rs
+++ b/crates/adapter/src/codec.rs
@@ -6,7 +6,29 @@
 use chutegrade_policy::interface::*;
 
 /// The table number that stands for all joined proxies in a level.
-const ALL_TABLES: u16 = 65535;
+pub(crate) const ALL_TABLES: u16 = 65535;
+/// Words for how a list is to be read.
+pub(crate) const LIST_KINDS: [(&str, ListKind); 4] = [
+    ("incr", ListKind::Changes),
+    ("total", ListKind::Complete),
+    ("warm_copy", ListKind::WarmCopy),
+    ("lost", ListKind::Lost),
+];
+/// Words for how a probe ends; any other says nothing of the server.
+pub(crate) const ENDS: [(&str, ProbeEnd); 6] = [
+    ("done", ProbeEnd::Done),
+    ("err", ProbeEnd::Error),
+    ("busy", ProbeEnd::Busy),
+    ("etimedout", ProbeEnd::TimedOut),
+    ("econnrefused", ProbeEnd::Unreachable),
+    ("econnreset", ProbeEnd::Unreachable),
+];
+/// Words for a server's life.
+pub(crate) const LIVES: [(&str, Lifecycle); 3] = [
+    ("in_service", Lifecycle::InService),
+    ("terminating", Lifecycle::Draining),
+    ("terminated", Lifecycle::Gone),
+];
 
 /// Why a line could not be read, or an action not be written.
 #[derive(Debug, thiserror::Error, PartialEq)]
@@ -48,12 +70,19 @@
     Unknown,
 }
 
-struct Parts<'a> {
+/// The parts of a line, by name.
+pub(crate) struct Parts<'a> {
     line: &'a str,
     tag: &'a str,
 }
 
 impl<'a> Parts<'a> {
+    pub(crate) fn of(line: &'a str) -> Self {
+        Parts { line, tag: line.split('\t').next().unwrap_or("") }
+    }
+    pub(crate) fn tag(&self) -> &'a str {
+        self.tag
+    }
     fn text(&self, key: &'static str) -> Result<&'a str, Fault> {
         self.find(key).ok_or_else(|| Fault::Missing(self.tag.to_string(), key))
     }
@@ -63,11 +92,11 @@
     fn bad(&self, key: &'static str, text: &str) -> Fault {
         Fault::Bad(self.tag.to_string(), key, text.chars().take(40).collect())
     }
-    fn parse<T: std::str::FromStr>(&self, key: &'static str) -> Result<T, Fault> {
+    pub(crate) fn parse<T: std::str::FromStr>(&self, key: &'static str) -> Result<T, Fault> {
         let text = self.text(key)?;
         text.parse().map_err(|_| self.bad(key, text))
     }
-    fn number(&self, key: &'static str) -> Result<f64, Fault> {
+    pub(crate) fn number(&self, key: &'static str) -> Result<f64, Fault> {
         let value: f64 = self.parse(key)?;
         if value.is_finite() {
             Ok(value)
@@ -75,7 +104,7 @@
             Err(self.bad(key, &value.to_string()))
         }
     }
-    fn count(&self, key: &'static str) -> Result<f64, Fault> {
+    pub(crate) fn count(&self, key: &'static str) -> Result<f64, Fault> {
         let value = self.number(key)?;
         if value >= 0.0 {
             Ok(value)
@@ -86,7 +115,7 @@
     fn time(&self, key: &'static str) -> Result<Micros, Fault> {
         self.number(key).map(Micros::from_ms)
     }
-    fn flag(&self, key: &'static str) -> Result<bool, Fault> {
+    pub(crate) fn flag(&self, key: &'static str) -> Result<bool, Fault> {
         self.parse::<u8>(key).map(|value| value != 0)
     }
     fn word<T: Copy>(&self, key: &'static str, words: &[(&str, T)]) -> Result<T, Fault> {
@@ -100,24 +129,24 @@
     fn load(&self) -> Load {
         chutegrade_settings::load(self.find("healthInfo").unwrap_or(""))
     }
-    fn server(&self) -> Result<ServerId, Fault> {
+    pub(crate) fn server(&self) -> Result<ServerId, Fault> {
         self.parse("server").map(ServerId)
     }
-    fn proxy(&self) -> Result<ProxyId, Fault> {
+    pub(crate) fn proxy(&self) -> Result<ProxyId, Fault> {
         self.parse("clientLb").map(ProxyId)
     }
     fn zone(&self) -> Result<ZoneId, Fault> {
         self.parse("locality").map(ZoneId)
     }
-    fn table(&self) -> Result<TableId, Fault> {
+    pub(crate) fn table(&self) -> Result<TableId, Fault> {
         self.parse("mapId").map(TableId)
     }
 }
 
 /// Reads one line.
 pub fn parse(line: &str) -> Result<Message, Fault> {
-    let tag = line.split('\t').next().unwrap_or("");
-    let p = Parts { line, tag };
+    let p = Parts::of(line);
+    let tag = p.tag();
     let event = match tag {
         "frame" => return Ok(Message::Frame(p.time("atTimeMs")?, p.parse("frame")?)),
         "your_turn" => return Ok(Message::Turn),
@@ -131,14 +160,8 @@
         }
         "teardown" => return Ok(Message::Teardown),
         "discovery" => {
-            let kinds = [
-                ("incr", ListKind::Changes),
-                ("total", ListKind::Complete),
-                ("warm_copy", ListKind::WarmCopy),
-                ("lost", ListKind::Lost),
-            ];
             let rows = if p.find("rows").is_some() { p.parse("rows")? } else { 0 };
-            return Ok(Message::List(p.word("how", &kinds)?, rows));
+            return Ok(Message::List(p.word("how", &LIST_KINDS)?, rows));
         }
         "row" => return entry(&p).map(Message::Row),
         "usage" => Event::Usage {
@@ -157,15 +180,7 @@
         },
         "receipt" => Event::Receipt { proxy: p.proxy()?, mark: p.parse("gen")?, took: p.time("costTimeMs")? },
         "health" => {
-            let ends = [
-                ("done", ProbeEnd::Done),
-                ("err", ProbeEnd::Error),
-                ("busy", ProbeEnd::Busy),
-                ("etimedout", ProbeEnd::TimedOut),
-                ("econnrefused", ProbeEnd::Unreachable),
-                ("econnreset", ProbeEnd::Unreachable),
-            ];
-            let end = p.word("ending", &ends).unwrap_or(ProbeEnd::Other);
+            let end = p.word("ending", &ENDS).unwrap_or(ProbeEnd::Other);
             Event::Probed { server: p.server()?, end, took: p.time("costTimeMs")?, load: p.load() }
         }
         "tenure" => Event::Tenure { table: p.table()?, given: p.flag("active")? },
@@ -196,11 +211,6 @@
 }
 
 fn entry(p: &Parts) -> Result<Entry, Fault> {
-    let lives = [
-        ("in_service", Lifecycle::InService),
-        ("terminating", Lifecycle::Draining),
-        ("terminated", Lifecycle::Gone),
-    ];
     let optional = |key: &'static str| if p.find(key).is_some() { p.count(key) } else { Ok(0.0) };
     let started = optional("upSinceMs")?;
     Ok(Entry {
@@ -208,7 +218,7 @@
         zone: ZoneId(optional("locality")? as u16),
         kind: optional("familyType")? as u32,
         cell: optional("cluster")? as u32,
-        life: p.word("lifecycle", &lives)?,
+        life: p.word("lifecycle", &LIVES)?,
         weight: if p.find("weight").is_some() { p.count("weight")? } else { 1.0 },
         started: (started > 0.0).then(|| Micros::from_ms(started)),
     })
--- a/crates/adapter/src/other.rs
+++ b/crates/adapter/src/other.rs
@@ -9,12 +9,14 @@
 use chutegrade_policy::interface::*;
 use chutegrade_settings::{to_json, Names};
 
+use crate::codec::{self, Parts, ALL_TABLES, ENDS, LIST_KINDS, LIVES};
+
 /// Added to times that are written, in milliseconds: a reader that cuts off what is below a microsecond gets the same one.
 const ABOVE: f64 = 0.000_25;
 
 /// Why another build can't be asked any more.
 #[derive(Debug, thiserror::Error)]
-pub enum Fault {
+enum Fault {
     /// It does not start, or has ended.
     #[error("the other build: {0}")]
     Io(#[from] std::io::Error),
@@ -27,7 +29,7 @@
 pub type Faults = Arc<Mutex<Option<String>>>;
 
 /// One instance of the decisions in a process of another build.
-pub struct Other {
+struct Other {
     child: Child,
     input: ChildStdin,
     output: BufReader<ChildStdout>,
@@ -49,6 +51,11 @@
     of.0 as f64 / 1000.0 + ABOVE
 }
 
+/// The word of the wire for a value; another where it has none.
+fn word<T: PartialEq>(words: &[(&'static str, T)], of: T, otherwise: &'static str) -> &'static str {
+    words.iter().find(|(_, value)| *value == of).map_or(otherwise, |(word, _)| *word)
+}
+
 fn load(of: &Load) -> String {
     let pairs =
         [("inflight", of.inflight), ("queue", of.queue), ("util", of.util), ("latency_ms", of.latency_ms)];
@@ -62,11 +69,7 @@
 }
 
 fn entry(of: &Entry) -> String {
-    let life = match of.life {
-        Lifecycle::InService => "in_service",
-        Lifecycle::Draining => "terminating",
-        Lifecycle::Gone => "terminated",
-    };
+    let life = word(&LIVES, of.life, "");
     let started = of.started.map(|at| format!("\tupSinceMs={}", ms(at))).unwrap_or_default();
     let (server, zone, kind, cell) = (of.server.0, of.zone.0, of.kind, of.cell);
     format!("row\tserver={server}\tlocality={zone}\tfamilyType={kind}\tcluster={cell}\tlifecycle={life}\tweight={}{started}\n", of.weight)
@@ -76,12 +79,7 @@
 fn lines(event: &Event, list: u64) -> String {
     match event {
         Event::Members(kind, entries) => {
-            let how = match kind {
-                ListKind::Changes => "incr",
-                ListKind::Complete => "total",
-                ListKind::WarmCopy => "warm_copy",
-                ListKind::Lost => "lost",
-            };
+            let how = word(&LIST_KINDS, *kind, "");
             let rows: String = entries.iter().map(entry).collect();
             format!("discovery\tgen={list}\thow={how}\trows={}\n{rows}", entries.len())
         }
@@ -107,14 +105,7 @@
             format!("receipt\tclientLb={}\tgen={mark}\tcostTimeMs={}\n", proxy.0, ms(*took))
         }
         Event::Probed { server, end, took, load: of } => {
-            let ending = match end {
-                ProbeEnd::Done => "done",
-                ProbeEnd::Error => "err",
-                ProbeEnd::Busy => "busy",
-                ProbeEnd::TimedOut => "etimedout",
-                ProbeEnd::Unreachable => "econnrefused",
-                ProbeEnd::Other => "skipped",
-            };
+            let ending = word(&ENDS, *end, "skipped");
             format!("health\tserver={}\tending={ending}\tcostTimeMs={}{}\n", server.0, ms(*took), load(of))
         }
         Event::Timer(id) => format!("ring\thandle={id}\n"),
@@ -126,55 +117,64 @@
 }
 
 /// A line of a reply as an action; nothing for what does not concern the model.
-fn action(line: &str) -> Result<Option<Action>, Fault> {
-    let said = || Fault::Said(line.chars().take(80).collect());
-    let mut parts = line.split('\t');
-    let tag = parts.next().unwrap_or_default();
-    let part = |key: &str| {
-        let found = line.split('\t').skip(1).find_map(|part| part.strip_prefix(key)?.strip_prefix('='));
-        found
-            .and_then(|text| text.parse::<f64>().ok())
-            .filter(|of| of.is_finite() && *of >= 0.0)
-            .ok_or_else(said)
-    };
-    let table = || Ok::<_, Fault>(part("mapId")? as u16);
-    let server = || Ok::<_, Fault>(ServerId(part("server")? as u32));
-    Ok(Some(match tag {
-        "endpoint" => Action::Line { table: TableId(table()?), server: server()?, weight: part("weight")? },
-        "wipe" => Action::Clear(TableId(table()?)),
-        "point" => Action::Bind {
-            proxy: ProxyId(part("clientLb")? as u32),
-            table: TableId(table()?),
-            classes: ClassSet(part("classBits")? as u32),
-        },
-        "suspend" => Action::Withdraw { server: server()?, out: part("active")? > 0.0 },
+fn action(line: &str) -> Result<Option<Action>, codec::Fault> {
+    let p = Parts::of(line);
+    let classes = || p.parse("classBits").map(ClassSet);
+    Ok(Some(match p.tag() {
+        "endpoint" => Action::Line { table: p.table()?, server: p.server()?, weight: p.count("weight")? },
+        "wipe" => Action::Clear(p.table()?),
+        "point" => Action::Bind { proxy: p.proxy()?, table: p.table()?, classes: classes()? },
+        "suspend" => Action::Withdraw { server: p.server()?, out: p.flag("active")? },
         "allow" => Action::Admit {
-            table: Some(table()?).filter(|of| *of != u16::MAX).map(TableId),
-            classes: ClassSet(part("classBits")? as u32),
-            level: part("allowance")?,
-            retry: match part("secondTry")? as u8 {
+            table: Some(p.table()?).filter(|of| of.0 != ALL_TABLES),
+            classes: classes()?,
+            level: p.count("allowance")?,
+            retry: match p.parse::<u8>("secondTry")? {
                 1 => Retry::Unrun,
                 2 => Retry::Once,
                 3 => Retry::Twice,
                 _ => Retry::Never,
             },
         },
-        "ask_receipt" => Action::Mark { mark: part("gen")? as u16, everyone: part("active")? > 0.0 },
-        "ping" => Action::Probe(server()?),
-        "subscribe" => Action::Subscribe(part("active")? > 0.0),
+        "ask_receipt" => Action::Mark { mark: p.parse("gen")?, everyone: p.flag("active")? },
+        "ping" => Action::Probe(p.server()?),
+        "subscribe" => Action::Subscribe(p.flag("active")?),
         "list_all" => Action::FetchList,
         "arm" => {
-            let after = Micros((part("fromNowMs")? * 1000.0).round() as i64);
-            Action::Timer { id: part("handle")? as u32, after }
+            let after = Micros((p.count("fromNowMs")? * 1000.0).round() as i64);
+            Action::Timer { id: p.parse("handle")?, after }
         }
         "source" | "write_log" | "notify" => return Ok(None),
-        _ => return Err(said()),
+        other => return Err(codec::Fault::Missing(other.chars().take(80).collect(), "action of that name")),
     }))
 }
 
+/// The decisions of a program that speaks the wire on its standard input and output. One that does not start, or fails
+/// later, orders nothing, and what it met first is kept.
+pub fn decides(
+    command: &str,
+    settings: &Settings,
+    names: &Names,
+    seed: u64,
+    faults: &Faults,
+) -> Box<dyn Decides> {
+    match Other::start(command, settings, names, seed, Arc::clone(faults)) {
+        Ok(other) => Box::new(other),
+        Err(fault) => {
+            keep(faults, &fault);
+            Box::new(Nothing)
+        }
+    }
+}
+
+fn keep(faults: &Faults, fault: &Fault) {
+    if let Ok(mut known) = faults.lock() {
+        known.get_or_insert(fault.to_string());
+    }
+}
+
 impl Other {
-    /// Starts a program that speaks the wire on its standard input and output.
-    pub fn start(
+    fn start(
         command: &str,
         settings: &Settings,
         names: &Names,
@@ -217,7 +217,8 @@
             if said.starts_with("end\t") {
                 return Ok(actions);
             }
-            actions.extend(action(said)?);
+            let told = action(said).map_err(|_| Fault::Said(said.chars().take(80).collect()))?;
+            actions.extend(told);
         }
     }
 }
@@ -225,16 +226,14 @@
 impl Decides for Other {
     fn handle(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
         self.ask(now, events).unwrap_or_else(|fault| {
-            if let Ok(mut known) = self.faults.lock() {
-                known.get_or_insert(fault.to_string());
-            }
+            keep(&self.faults, &fault);
             Vec::new()
         })
     }
 }
 
-/// Where the first process does not start there is nothing to ask: it orders nothing, and the fault is told.
-pub struct Nothing;
+/// Where a process does not start there is nothing to ask.
+struct Nothing;
 
 impl Decides for Nothing {
     fn handle(&mut self, _: Micros, _: &[Event]) -> Vec<Action> {
--- a/crates/model/src/front.rs
+++ b/crates/model/src/front.rs
@@ -218,9 +218,10 @@
         &self.tables[class]
     }
 
-    /// Whether a server is shut out.
-    pub fn is_withdrawn(&self, server: u32) -> bool {
-        self.withdrawn.contains(&server)
+    /// Whether a server can be picked for some class.
+    pub fn picks(&self, server: u32) -> bool {
+        let names = |table: &Rc<Table>| table.rows.binary_search_by_key(&server, |(known, _)| *known).is_ok();
+        !self.withdrawn.contains(&server) && self.tables.iter().any(names)
     }
 
     /// Whether somebody can be picked for a class.
--- a/crates/model/src/supervisor.rs
+++ b/crates/model/src/supervisor.rs
@@ -13,6 +13,9 @@
 use crate::scenario::Scenario;
 use crate::server::Server;
 
+/// How late the ideal sees the truth where nothing is said, in milliseconds: about what reports take in service.
+pub const IDEAL_LATE_MS: u32 = 500;
+
 /// What decides.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Control {
--- a/crates/records/src/text.rs
+++ b/crates/records/src/text.rs
@@ -5,6 +5,15 @@
 
 use crate::pb::{self, record::Kind, Cause, Life, State};
 
+/// A text as a cell of CSV: quoted where it must be.
+pub fn cell(text: &str) -> String {
+    if text.contains([',', '"', '\n', '\r']) {
+        format!("\"{}\"", text.replace('"', "\"\""))
+    } else {
+        text.to_string()
+    }
+}
+
 /// The word for a state.
 pub fn state(state: State) -> &'static str {
     match state {
--- a/crates/supervisor/src/cli.rs
+++ b/crates/supervisor/src/cli.rs
@@ -59,6 +59,17 @@
     Ideal,
 }
 
+/// Results of an experiment.
+#[derive(Args, Debug)]
+pub struct Results {
+    /// The experiment.
+    #[arg(value_name = "FILE")]
+    pub experiment: PathBuf,
+    /// Where its results are.
+    #[arg(long, value_name = "DIR")]
+    pub out: PathBuf,
+}
+
 /// What can be done in the laboratory.
 #[derive(Debug, Subcommand)]
 pub enum LabCommand {
@@ -90,23 +101,9 @@
         threads: usize,
     },
     /// Print what the results of an experiment say so far; plays nothing.
-    Compare {
-        /// The experiment.
-        #[arg(value_name = "FILE")]
-        experiment: PathBuf,
-        /// Where its results are.
-        #[arg(long, value_name = "DIR")]
-        out: PathBuf,
-    },
+    Compare(Results),
     /// Write the report of an experiment anew from its results; plays nothing.
-    Report {
-        /// The experiment.
-        #[arg(value_name = "FILE")]
-        experiment: PathBuf,
-        /// Where its results are.
-        #[arg(long, value_name = "DIR")]
-        out: PathBuf,
-    },
+    Report(Results),
     /// Search troubles for the scenario on which a rule breaks or most is lost, and shrink it.
     Hunt {
         /// The scenario to begin with.
--- a/crates/supervisor/src/lab.rs
+++ b/crates/supervisor/src/lab.rs
@@ -5,20 +5,13 @@
 
 use chutegrade_lab::experiment::{read, Plan};
 use chutegrade_lab::{hunt, report, run, Progress, Store};
-use chutegrade_model::{play, scenario, Control, Outcome, Scenario, Setup};
+use chutegrade_model::{play, scenario, Control, Outcome, Scenario, Setup, IDEAL_LATE_MS};
 use indicatif::{ProgressBar, ProgressStyle};
 
-use crate::cli::{Decider, Lab, LabCommand};
-use crate::{plugins, Fault};
-
-/// How late the ideal sees the truth, in milliseconds.
-const IDEAL_LATE_MS: u32 = 500;
-/// Largest file that is read, in bytes: scenarios are texts that people write.
-const LENGTH_MOST: u64 = 1 << 20;
-
-fn said(fault: impl ToString) -> Fault {
-    Fault::Said(fault.to_string())
-}
+use crate::cli::{Decider, Lab, LabCommand, Results};
+use crate::plugins::{self, read_one};
+use crate::tools::{said, write_whole};
+use crate::Fault;
 
 /// `lab`.
 pub fn lab(of: &Lab, out: &mut impl Write) -> Result<(), Fault> {
@@ -30,15 +23,13 @@
             rayon::ThreadPoolBuilder::new().num_threads(*threads).build_global().map_err(said)?;
             run_all(experiment, directory, out)
         }
-        LabCommand::Compare { experiment, out: directory } => {
-            let plan = plan(experiment)?;
-            let store = Store::open(directory).map_err(said)?;
+        LabCommand::Compare(of) => {
+            let (plan, store) = results(of)?;
             write!(out, "{}", report::table(&plan, &build()?, &store)).map_err(Fault::from)
         }
-        LabCommand::Report { experiment, out: directory } => {
-            let plan = plan(experiment)?;
-            let store = Store::open(directory).map_err(said)?;
-            write_report(&plan, &build()?, &store, directory, out)
+        LabCommand::Report(of) => {
+            let (plan, store) = results(of)?;
+            write_report(&plan, &build()?, &store, &of.out, out)
         }
         LabCommand::Hunt { scenario, out: file, budget, seed, rules } => {
             search(scenario, file, *budget, *seed, *rules, out)
@@ -46,21 +37,16 @@
     }
 }
 
+fn results(of: &Results) -> Result<(Plan, Store), Fault> {
+    Ok((plan(&of.experiment)?, Store::open(&of.out).map_err(said)?))
+}
+
 /// What tells this program's text from another's: results of one are never taken for the other's.
 fn build() -> Result<String, Fault> {
     let program = std::env::current_exe().and_then(std::fs::read).map_err(said)?;
     Ok(blake3::hash(&program).to_hex().as_str().get(..12).unwrap_or_default().to_string())
 }
 
-fn text(path: &Path) -> Result<String, Fault> {
-    let shown = path.display();
-    let length = std::fs::metadata(path).map_err(|fault| said(format!("{shown}: {fault}")))?.len();
-    if length > LENGTH_MOST {
-        return Err(said(format!("{shown}: {length} bytes are too long, at most {LENGTH_MOST} are read")));
-    }
-    std::fs::read_to_string(path).map_err(|fault| said(format!("{shown}: {fault}")))
-}
-
 /// All faults of a file, each on a line with its place.
 fn faults(path: &Path, all: &[chutegrade_textproto::Wrong]) -> Fault {
     let lines: Vec<String> = all.iter().map(|wrong| format!("{}:{wrong}", path.display())).collect();
@@ -69,7 +55,7 @@
 
 fn plan(path: &Path) -> Result<Plan, Fault> {
     let directory = path.parent().unwrap_or(Path::new("."));
-    read(&text(path)?, directory).map_err(|all| faults(path, &all))
+    read(&read_one(path)?, directory).map_err(|all| faults(path, &all))
 }
 
 fn once(
@@ -79,7 +65,7 @@
     texts: &[PathBuf],
     out: &mut impl Write,
 ) -> Result<(), Fault> {
-    let scenario = scenario::read(&text(path)?).map_err(|all| faults(path, &all))?;
+    let scenario = scenario::read(&read_one(path)?).map_err(|all| faults(path, &all))?;
     let control = match control {
         Decider::Module => Control::Module,
         Decider::Fixed => Control::Fixed,
@@ -192,13 +178,6 @@
     Ok(())
 }
 
-/// A file appears whole or not at all.
-fn write_whole(path: &Path, text: &str) -> Result<(), Fault> {
-    let draft = path.with_extension("draft");
-    let written = std::fs::write(&draft, text).and_then(|()| std::fs::rename(&draft, path));
-    written.map_err(|fault| said(format!("{} cannot be written: {fault}", path.display())))
-}
-
 fn search(
     path: &Path,
     file: &Path,
@@ -207,7 +186,7 @@
     rules: bool,
     out: &mut impl Write,
 ) -> Result<(), Fault> {
-    let written = scenario::parse(&text(path)?).map_err(|wrong| faults(path, &[wrong]))?;
+    let written = scenario::parse(&read_one(path)?).map_err(|wrong| faults(path, &[wrong]))?;
     Scenario::try_from(&written)
         .map_err(|all| said(all.into_iter().map(|(_, said)| said).collect::<Vec<_>>().join("; ")))?;
     let bar = bar();
--- a/crates/supervisor/src/plugins.rs
+++ b/crates/supervisor/src/plugins.rs
@@ -2,7 +2,7 @@
 //! decisions as a report. A text that is wrong changes nothing; that the supervisor serves does not depend on any.
 
 use std::cell::RefCell;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use chutegrade_advice::Rules;
 use chutegrade_plugins::host::Word;
@@ -19,18 +19,19 @@
     rules: RefCell<Rules>,
 }
 
+/// Reads one text that people write; the sentence of a fault names its file.
+pub fn read_one(path: &Path) -> Result<String, String> {
+    let shown = path.display();
+    let length = std::fs::metadata(path).map_err(|fault| format!("{shown}: {fault}"))?.len();
+    if length > TEXT_MOST {
+        return Err(format!("{shown}: {length} bytes are too long, at most {TEXT_MOST} are read"));
+    }
+    std::fs::read_to_string(path).map_err(|fault| format!("{shown}: {fault}"))
+}
+
 /// Reads texts with the names of their files.
 pub fn read(files: &[PathBuf]) -> Result<Vec<(String, String)>, String> {
-    let read = |path: &PathBuf| {
-        let shown = path.display();
-        let length = std::fs::metadata(path).map_err(|fault| format!("{shown}: {fault}"))?.len();
-        if length > TEXT_MOST {
-            return Err(format!("{shown}: {length} bytes are too long"));
-        }
-        let text = std::fs::read_to_string(path).map_err(|fault| format!("{shown}: {fault}"))?;
-        Ok((shown.to_string(), text))
-    };
-    files.iter().map(read).collect()
+    files.iter().map(|path| Ok((path.display().to_string(), read_one(path)?))).collect()
 }
 
 impl Plugins {
--- a/crates/supervisor/src/tools.rs
+++ b/crates/supervisor/src/tools.rs
@@ -52,7 +52,8 @@
     }
 }
 
-fn said(fault: impl ToString) -> Fault {
+/// A fault in its own words.
+pub fn said(fault: impl ToString) -> Fault {
     Fault::Said(fault.to_string())
 }
 
@@ -170,9 +171,7 @@
         if check {
             writeln!(out, "{name} is written otherwise")?;
         } else {
-            let draft = path.with_extension("draft");
-            let written = std::fs::write(&draft, formatted).and_then(|()| std::fs::rename(&draft, path));
-            written.map_err(|fault| Fault::Said(format!("{name} cannot be written: {fault}")))?;
+            write_whole(path, &formatted)?;
             writeln!(out, "{name} formatted")?;
         }
     }
@@ -192,8 +191,7 @@
     out: &mut impl Write,
 ) -> Result<(), Fault> {
     let timeline = Timeline::open(directories).map_err(said)?;
-    let last = timeline.span().map_or(0, |span| span.to_us);
-    let at = at.map_or(Ok(last), |text| text::parse_time(text, last)).map_err(said)?;
+    let at = moment(&timeline, at)?;
     let (events, _) = timeline.read(&Query::between(at.saturating_sub(EXPLAINED_US), at));
     let mut known = 0;
     for supervisor in &timeline.supervisors {
@@ -288,8 +286,7 @@
         None => Fault::Said("the plug-ins cannot be loaded".to_string()),
     })?;
     let timeline = Timeline::open(&[records.to_path_buf()]).map_err(said)?;
-    let last = timeline.span().map_or(0, |span| span.to_us);
-    let at = at.map_or(Ok(last), |text| text::parse_time(text, last)).map_err(said)?;
+    let at = moment(&timeline, at)?;
     for turn in 0..i64::from(turns) {
         let now = at.saturating_add(turn * 1_000_000);
         let (events, _) = timeline.read(&Query::between(now.saturating_sub(LOOK_BACK_US), now));
@@ -347,8 +344,8 @@
     let at = match &console.at {
         None => None,
         Some(text) => {
-            let span = Timeline::open(&console.directories).map_err(said)?.span();
-            Some(text::parse_time(text, span.map_or(0, |span| span.to_us)).map_err(said)?)
+            let timeline = Timeline::open(&console.directories).map_err(said)?;
+            Some(moment(&timeline, Some(text))?)
         }
     };
     let shown = if console.once {
@@ -376,13 +373,24 @@
         return Err(Fault::Said(format!("nothing lies between {from} and {to}: --from is after --to")));
     }
     let page = chutegrade_report::report(&timeline, Window { from_us, to_us }, Default::default());
-    let draft = report.out.with_extension("draft");
-    let written = std::fs::write(&draft, page).and_then(|()| std::fs::rename(&draft, &report.out));
-    written.map_err(|fault| Fault::Said(format!("{} cannot be written: {fault}", report.out.display())))?;
+    write_whole(&report.out, &page)?;
     let from_to = (text::time(from_us), text::time(to_us));
     writeln!(out, "{}: {} to {}", shown_path(&report.out), from_to.0, from_to.1).map_err(Fault::from)
 }
 
+/// A file appears whole or not at all.
+pub fn write_whole(path: &Path, text: &str) -> Result<(), Fault> {
+    let draft = path.with_extension("draft");
+    let written = std::fs::write(&draft, text).and_then(|()| std::fs::rename(&draft, path));
+    written.map_err(|fault| said(format!("{} cannot be written: {fault}", path.display())))
+}
+
+/// A moment as it was asked for, or that of the last record.
+fn moment(timeline: &Timeline, at: Option<&str>) -> Result<i64, Fault> {
+    let last = timeline.span().map_or(0, |span| span.to_us);
+    at.map_or(Ok(last), |text| text::parse_time(text, last)).map_err(said)
+}
+
 fn shown_path(path: &Path) -> String {
     printable(&path.display().to_string())
 }
@@ -427,14 +435,6 @@
     out.flush().map_err(Fault::from)
 }
 
-fn csv(text: &str) -> String {
-    if text.contains([',', '"', '\n', '\r']) {
-        format!("\"{}\"", text.replace('"', "\"\""))
-    } else {
-        text.to_string()
-    }
-}
-
 fn write_event(event: &Event, form: Form, out: &mut impl Write) -> std::io::Result<()> {
     let (at, learned) = (text::time(event.at_us), text::time(event.learned_us()));
     let (by, start, seq) = (&event.supervisor, event.incarnation, event.record.seq);
@@ -452,7 +452,7 @@
         }
         Form::Csv => {
             let cells = [&at, &learned, &**by, &start.to_string(), &seq.to_string(), name, server, &line];
-            writeln!(out, "{}", cells.map(csv).join(","))
+            writeln!(out, "{}", cells.map(text::cell).join(","))
         }
         Form::Jsonl => {
             let record = serde_json::to_value(&event.record.kind).unwrap_or(Value::Null);
@@ -478,7 +478,7 @@
         Form::Text => writeln!(out, "{from}  {}  --- gap: {line}", printable(by)),
         Form::Csv => {
             let cells = [&from, &to, &**by, "", "", "gap", "", &line];
-            writeln!(out, "{}", cells.map(csv).join(","))
+            writeln!(out, "{}", cells.map(text::cell).join(","))
         }
         Form::Jsonl => {
             let row = json!({"kind": "gap", "supervisor": &**by, "from": from, "to": to,
