--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -6,9 +6,11 @@
 use chutegrade_policy::policy::Policy;
 
 use crate::codec::{self, Fault, Message};
+use crate::limits::Service;
 
 struct Instance {
     policy: Policy,
+    service: Option<Service>,
     events: Vec<Event>,
 }
 
@@ -27,9 +29,15 @@
     frame: u64,
     at: Option<u32>,
     list: Option<OpenList>,
+    limits: Option<chutegrade_limits::pb::Limits>,
 }
 
 impl Host {
+    /// One whose instances limit service as the operators wrote.
+    pub fn limited(limits: Option<chutegrade_limits::pb::Limits>) -> Self {
+        Host { limits, ..Host::default() }
+    }
+
     /// Takes one line in; the last line of a batch gives the whole reply.
     pub fn line(&mut self, line: &str) -> Result<Option<String>, Fault> {
         if line.is_empty() {
@@ -57,8 +65,14 @@
             Message::At(instance) => self.at = Some(instance),
             Message::Begin(seed, settings) => {
                 if let Some(at) = self.at {
+                    let service = self.limits.as_ref().and_then(|limits| {
+                        let faults = |all: Vec<_>| {
+                            all.iter().for_each(|fault| eprintln!("chutegrade-adapter: {fault}"))
+                        };
+                        Service::new(limits, &settings).map_err(faults).ok()
+                    });
                     let policy = Policy::new(*settings, seed);
-                    self.instances.insert(at, Instance { policy, events: Vec::new() });
+                    self.instances.insert(at, Instance { policy, service, events: Vec::new() });
                 }
             }
             Message::Teardown => {
@@ -98,6 +112,11 @@
             if instance.events.is_empty() {
                 continue;
             }
+            let said = instance
+                .service
+                .as_mut()
+                .and_then(|service| service.turn(self.now, &instance.events, &instance.policy));
+            instance.events.extend(said);
             let actions = instance.policy.handle(self.now, &instance.events);
             instance.events.clear();
             if !actions.is_empty() {
--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod codec;
 pub mod host;
+mod limits;
 pub mod other;
--- /dev/null
+++ b/crates/adapter/src/limits.rs
@@ -0,0 +1,109 @@
+//! Limits on service on the simulator's wire: what is seen in its events, and what is decided as one more event. Classes have
+//! no names there; they are numbered, `c0` being the first.
+
+use chutegrade_limits::govern::{Demand, Inputs, Orders, Outcome};
+use chutegrade_limits::repeats::Again;
+use chutegrade_limits::{pb, Class, Effect, Fault, Governor, Plan};
+use chutegrade_policy::interface::{self as policy, ClassId, Event, Limits, Micros, Retry, Settings};
+use chutegrade_policy::policy::Policy;
+
+/// Time between two turns: reports come no oftener.
+const TURN_EVERY: Micros = Micros(1_000_000);
+/// How long what is decided stands without being said again: a turn that is late, or two.
+const STANDS: Micros = Micros(4_000_000);
+
+/// Limits of one instance.
+pub struct Service {
+    governor: Governor,
+    period: Micros,
+    due: Option<Micros>,
+    heard: Option<Micros>,
+    demand: Vec<Demand>,
+    outcomes: Vec<Outcome>,
+}
+
+fn classes(settings: &Settings) -> Vec<Class> {
+    let class = |(number, of): (usize, &policy::Class)| Class {
+        name: format!("c{number}"),
+        worth: of.worth,
+        aim_s: of.aim.secs(),
+        deadline_s: of.deadline.secs(),
+        effect: match of.effect {
+            policy::Effect::Safe => Effect::Safe,
+            policy::Effect::Keyed(policy::Scope::All, window) => Effect::Keyed(window.secs()),
+            policy::Effect::Keyed(..) => Effect::Keyed(0.0),
+            policy::Effect::Unsafe => Effect::Unsafe,
+        },
+    };
+    settings.classes.iter().enumerate().map(class).collect()
+}
+
+impl Service {
+    /// Limits as the operators wrote them, for these settings.
+    pub fn new(written: &pb::Limits, settings: &Settings) -> Result<Self, Vec<Fault>> {
+        let classes = classes(settings);
+        let plan = Plan::read(written, Some(&classes))?;
+        Ok(Service {
+            governor: Governor::new(plan, classes, settings.proxies),
+            period: settings.report_period.max(TURN_EVERY),
+            due: None,
+            heard: None,
+            demand: Vec::new(),
+            outcomes: Vec::new(),
+        })
+    }
+
+    /// Takes in what a batch tells, and gives what is decided if it is time.
+    pub fn turn(&mut self, now: Micros, events: &[Event], policy: &Policy) -> Option<Event> {
+        events.iter().for_each(|event| self.take(now, event));
+        if self.due.is_some_and(|due| now < due) {
+            return None;
+        }
+        self.due = Some(now + TURN_EVERY);
+        let figures = policy.figures();
+        let inputs = Inputs {
+            now: now.0,
+            heard: self.heard.map(|heard| heard.0),
+            period: self.period.0,
+            strain: figures.strain,
+            levels: figures.levels,
+            warm: figures.warm,
+            cut: figures.cut,
+            demand: std::mem::take(&mut self.demand),
+            outcomes: std::mem::take(&mut self.outcomes),
+        };
+        Some(Event::Limits(limits(&self.governor.turn(&inputs).orders, now)))
+    }
+
+    fn take(&mut self, now: Micros, event: &Event) {
+        match event {
+            Event::Usage { proxy, class, came, failed, .. } => {
+                let class = usize::from(class.0);
+                self.demand.push(Demand { proxy: proxy.0, class, came: *came, failed: *failed });
+            }
+            Event::Heard { tries, failed, mean_ms, load, .. } => {
+                let (tries, failed, mean_ms) = (*tries, *failed, *mean_ms);
+                self.outcomes.push(Outcome { tries, failed, mean_ms, queue: load.queue });
+            }
+            Event::Probed { .. } => {}
+            _ => return,
+        }
+        self.heard = Some(now);
+    }
+}
+
+fn limits(orders: &Orders, now: Micros) -> Limits {
+    let class = |at: usize| ClassId(u8::try_from(at).unwrap_or(u8::MAX));
+    let way = |again: &Again| match again {
+        Again::Never => Retry::Never,
+        Again::Unrun => Retry::Unrun,
+        Again::Once => Retry::Once,
+    };
+    Limits {
+        refuse: orders.refuse,
+        heavy: orders.heavy,
+        keep: orders.keep.iter().map(|(at, keep)| (class(*at), *keep)).collect(),
+        again: orders.again.iter().enumerate().map(|(at, again)| (class(at), way(again))).collect(),
+        until: now + STANDS,
+    }
+}
--- a/crates/console/src/draw.rs
+++ b/crates/console/src/draw.rs
@@ -166,6 +166,7 @@
     if picture.cold_held {
         lines.push(Line::styled("cold servers are held out of tables", Style::new().fg(Color::Yellow)));
     }
+    lines.extend(service(side, area.width));
     lines.push(levels(side));
     let mut zones: Vec<&str> = picture.servers.values().map(|server| server.zone.as_str()).collect();
     zones.sort_unstable();
@@ -217,6 +218,67 @@
     servers.into_iter().take(room).map(line).collect()
 }
 
+/// The level of service with its time and signals, and below it a band over the span: a letter for each change.
+fn service(side: &Side, width: u16) -> Vec<Line<'static>> {
+    let Some(level) = &side.picture.service_level else { return Vec::new() };
+    let full = level == "full";
+    let style = if full {
+        Style::new().fg(Color::Green)
+    } else {
+        Style::new().fg(Color::Yellow).add_modifier(Modifier::BOLD)
+    };
+    let mut spans = vec![Span::raw("service "), Span::styled(text::printable(level), style)];
+    if let Some(gauge) = &side.picture.gauge {
+        let since = side.picture.learned_us.saturating_sub(gauge.level_since_us);
+        if gauge.level_since_us > 0 {
+            spans.push(Span::styled(format!(" for {}", text::length(since)), soft()));
+        }
+        let shown: Vec<String> = gauge.signals.iter().map(text::signal).collect();
+        let shown = format!("  {}", shown.join(" "));
+        let room =
+            usize::from(width).saturating_sub(spans.iter().map(|span| span.content.chars().count()).sum());
+        spans.push(Span::styled(shown.chars().take(room).collect::<String>(), soft()));
+    }
+    let mut lines = vec![Line::from(spans)];
+    let names: Vec<&str> = side.figures.iter().filter_map(|figure| figure.service_level.as_deref()).collect();
+    if names.windows(2).any(|two| two[0] != two[1]) {
+        lines.push(band(side, width));
+    }
+    lines
+}
+
+/// Levels over the span: nothing where service was full, the level's first letters where it was not.
+fn band(side: &Side, width: u16) -> Line<'static> {
+    let width = usize::from(width).saturating_sub(8).max(1);
+    let (Some(first), Some(last)) = (side.figures.first(), side.figures.last()) else { return Line::raw("") };
+    let span = (last.at_us - first.at_us).max(1);
+    let mut cells: Vec<&str> = vec!["full"; width];
+    for figure in &side.figures {
+        let at = (width as i64 - 1) * (figure.at_us - first.at_us) / span;
+        let level = figure.service_level.as_deref().unwrap_or("full");
+        if let Some(cell) = usize::try_from(at).ok().and_then(|at| cells.get_mut(at)) {
+            *cell = level;
+        }
+        // Columns narrower than a second hold the one before.
+        if let Ok(at) = usize::try_from(at) {
+            cells.iter_mut().skip(at + 1).for_each(|cell| *cell = level);
+        }
+    }
+    let mut spans = vec![Span::styled("levels  ", soft())];
+    for run in cells.chunk_by(|one, other| one == other) {
+        let level = run.first().copied().unwrap_or("full");
+        if level == "full" {
+            spans.push(Span::styled("─".repeat(run.len()), soft()));
+        } else {
+            let name: String = text::printable(level).chars().take(run.len()).collect();
+            let pad = run.len().saturating_sub(name.chars().count());
+            let style = Style::new().fg(Color::Black).bg(Color::Yellow);
+            spans.push(Span::styled(format!("{name}{}", " ".repeat(pad)), style));
+        }
+    }
+    Line::from(spans)
+}
+
 fn levels(side: &Side) -> Line<'static> {
     let Some(gauge) = &side.picture.gauge else { return Line::styled("no figures yet", soft()) };
     let mut spans = vec![Span::raw(format!("{} streams  ", gauge.streams))];
--- a/crates/console/src/view.rs
+++ b/crates/console/src/view.rs
@@ -13,7 +13,7 @@
 const EVENTS_MOST: usize = 2000;
 
 /// What was measured at one time.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Figure {
     /// When.
     pub at_us: i64,
@@ -23,6 +23,8 @@
     pub refused: f64,
     /// Lowest level of any class.
     pub admitted: f64,
+    /// The level of service, where there are levels.
+    pub service_level: Option<String>,
 }
 
 /// One supervisor at the cursor.
@@ -105,7 +107,8 @@
             if let Some(gauge) = gauge(event) {
                 let lowest = gauge.levels.iter().copied().fold(1.0, f64::min);
                 let (at_us, waiting, refused) = (event.at_us, gauge.waiting, gauge.refused);
-                side.figures.push(Figure { at_us, waiting, refused, admitted: lowest });
+                let service_level = gauge.service_level.clone();
+                side.figures.push(Figure { at_us, waiting, refused, admitted: lowest, service_level });
             }
             if is_event(event) {
                 view.rows.push(row(event));
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -110,7 +110,7 @@
 /// What limits on service decide, by names; a name that is not known is passed over.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Limited {
-    /// The share of requests to refuse, in the place of what saturation tells.
+    /// The least share of requests to refuse, beside what saturation tells.
     pub refuse: Option<f64>,
     /// The same for usual proxies and for heavy ones, where these have tables of their own.
     pub heavy: Option<(f64, f64)>,
--- a/crates/limits/src/govern.rs
+++ b/crates/limits/src/govern.rs
@@ -127,7 +127,7 @@
 /// What follows, until it is said anew.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Orders {
-    /// The share of requests to refuse, in the place of what saturation tells.
+    /// The least share of requests to refuse, beside what saturation tells.
     pub refuse: Option<f64>,
     /// The same for front ends that are not heavy, and for those that are, where they can be told apart.
     pub heavy: Option<(f64, f64)>,
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -463,7 +463,7 @@
 /// What limits on service decide. What is not named is as it would be without them; it ends by itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Limits {
-    /// The share of requests to refuse, in the place of what saturation tells.
+    /// The least share of requests to refuse, beside what saturation tells.
     pub refuse: Option<f64>,
     /// The same for usual proxies and for those that bring more than a part can bear, where these have tables of their own.
     pub heavy: Option<(f64, f64)>,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -662,7 +662,7 @@
         admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE));
         admission.strain = -smooth(-admission.strain, -term);
         let refused = REFUSE.1 * clamp01((admission.strain - REFUSE.0) / (1.0 - REFUSE.0));
-        let refused = self.limits.refuse.map_or(refused, |limit| limit.max(0.0).min(REFUSE.1));
+        let refused = self.limits.refuse.map_or(refused, |limit| limit.max(refused).min(REFUSE.1));
         let step = |refused: f64| (10.0 * refused).round();
         if step(refused) != step(admission.refused) && self.settings.levels != LevelKind::Silent {
             let strain = admission.strain;
--- a/crates/records/src/course.rs
+++ b/crates/records/src/course.rs
@@ -68,6 +68,8 @@
     Zone(String),
     /// Requests are refused.
     Refusing,
+    /// Service is reduced to a level.
+    Reduced(String),
     /// Discovery says nothing.
     Discovery,
     /// A supervisor died or recorded nothing.
@@ -82,6 +84,7 @@
             Trouble::Failing(name) => format!("tries at {name} fail"),
             Trouble::Zone(name) => format!("zone {name} cut off"),
             Trouble::Refusing => "requests refused".to_string(),
+            Trouble::Reduced(level) => format!("service reduced to {level}"),
             Trouble::Discovery => "discovery silent".to_string(),
             Trouble::Supervisor(name) => format!("supervisor {name} away"),
         }
@@ -298,6 +301,10 @@
             Some(Kind::ZoneCut(of)) => set(of.cut, Trouble::Zone(of.zone.clone())),
             Some(Kind::Saturation(of)) => set(of.refused > 0.0, Trouble::Refusing),
             Some(Kind::Gauge(of)) if of.refused <= 0.0 => set(false, Trouble::Refusing),
+            Some(Kind::ServiceLevel(of)) => {
+                set(of.number > 0, Trouble::Reduced(of.to.clone()));
+                set(false, Trouble::Reduced(of.from.clone()));
+            }
             Some(Kind::Discovery(of)) => set(!of.tells, Trouble::Discovery),
             Some(Kind::Fleet(of)) => {
                 for server in of.servers.iter().filter(|server| server.state() == State::Full) {
--- a/crates/records/src/replay.rs
+++ b/crates/records/src/replay.rs
@@ -89,6 +89,8 @@
     pub classes: Vec<String>,
     /// The last figures.
     pub gauge: Option<pb::Gauge>,
+    /// The level of service in force, where there are levels.
+    pub service_level: Option<String>,
     /// The last word on saturation.
     pub saturation: Option<pb::Saturation>,
     /// Way of trying again by class.
@@ -169,7 +171,12 @@
             Kind::StreamLeft(of) => {
                 self.proxies.remove(&of.proxy);
             }
-            Kind::Gauge(of) => self.gauge = Some(of.clone()),
+            Kind::ServiceLevel(of) => self.service_level = Some(of.to.clone()),
+            Kind::Gauge(of) => {
+                // Where levels were switched off, or a change was lost, the figures put it right.
+                self.service_level.clone_from(&of.service_level);
+                self.gauge = Some(of.clone());
+            }
             Kind::Discovery(of) => self.discovery_silent = !of.tells,
             Kind::Fleet(of) => self.fleet(of, record.at_us),
             _ => {}
--- a/crates/report/src/chart.rs
+++ b/crates/report/src/chart.rs
@@ -5,7 +5,7 @@
 use chutegrade_records::{text, Gap, GapReason, Window};
 use maud::{html, Markup};
 
-use crate::gather::Runs;
+use crate::gather::{Runs, Served};
 
 /// Width of a chart and of the column of labels before it, in units of the drawing.
 const WIDTH: f64 = 1000.0;
@@ -21,6 +21,10 @@
 /// Distances between marks, in seconds.
 const STEPS: [i64; 17] =
     [1, 2, 5, 10, 15, 30, 60, 120, 300, 600, 900, 1800, 3600, 7200, 10_800, 21_600, 86_400];
+/// The name of full service.
+const FULL: &str = "full";
+/// Width of a letter, for names that must fit.
+const LETTER: f64 = 6.0;
 /// Least width of a hatch, so that a short gap is seen.
 const HATCH_LEAST: f64 = 2.0;
 
@@ -117,6 +121,35 @@
     }
 }
 
+/// Which level of service was in force when, a band a supervisor; full service is a thin line.
+pub fn bands(axis: Axis, rows: &[(&str, Vec<Served>)], gaps: &[Gap]) -> Markup {
+    let bottom = TITLE + rows.len() as f64 * ROW;
+    html! {
+        svg viewBox=(format!("0 0 {WIDTH} {}", r(bottom + AXIS))) role="img" aria-label="levels of service over time" {
+            (axis.draw(TITLE, bottom))
+            @for (at, (supervisor, served)) in rows.iter().enumerate() {
+                @let top = TITLE + at as f64 * ROW;
+                text.label x=(r(LABELS - 6.0)) y=(r(top + ROW - 4.0)) { (supervisor) }
+                @for of in served {
+                    @let (from, to) = (axis.x(of.from_us), axis.x(of.to_us));
+                    @let full = of.level == FULL;
+                    @let (y, height) = if full { (top + ROW / 2.0 - 1.0, 2.0) } else { (top + 2.0, ROW - 4.0) };
+                    rect class=(if full { "state full" } else { "state reduced" }) x=(r(from)) y=(r(y))
+                        width=(r((to - from).max(0.5))) height=(r(height)) {
+                        title { (of.level) " from " (text::clock(of.from_us)) " to " (text::clock(of.to_us)) }
+                    }
+                    @if !full && to - from > LETTER * of.level.chars().count() as f64 {
+                        text.within x=(r(from + 3.0)) y=(r(top + ROW - 5.0)) { (of.level) }
+                    }
+                }
+                @for gap in gaps.iter().filter(hides).filter(|gap| *gap.supervisor == **supervisor) {
+                    (axis.hatch(gap, top + 1.0, ROW - 2.0))
+                }
+            }
+        }
+    }
+}
+
 /// One line of a chart.
 pub struct Line {
     /// What it is.
--- a/crates/report/src/gather.rs
+++ b/crates/report/src/gather.rs
@@ -50,6 +50,8 @@
     pub out: u32,
     /// Lowest level of each class.
     pub levels: Vec<f64>,
+    /// The level of service at its end, where there are levels.
+    pub service: Option<String>,
 }
 
 impl Column {
@@ -58,6 +60,7 @@
         self.waiting = self.waiting.max(gauge.waiting);
         self.refused = self.refused.max(gauge.refused);
         self.streams = gauge.streams;
+        self.service.clone_from(&gauge.service_level);
         self.out = self.out.max(gauge.reduced + gauge.withdrawn);
         self.levels.resize(self.levels.len().max(gauge.levels.len()), 1.0);
         for (known, level) in self.levels.iter_mut().zip(&gauge.levels) {
@@ -102,6 +105,42 @@
     }
 }
 
+/// A level of service in force from one time to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Served {
+    /// Its begin, in Unix microseconds.
+    pub from_us: i64,
+    /// Its end.
+    pub to_us: i64,
+    /// Its name.
+    pub level: String,
+}
+
+impl Columns {
+    /// The levels of one supervisor over time; where nothing is known for too long there is none.
+    pub fn served(&self, supervisor: &str, window: Window) -> Vec<Served> {
+        let mut served: Vec<Served> = Vec::new();
+        for (number, column) in self.of.get(supervisor).into_iter().flatten() {
+            let Some(level) = &column.service else { continue };
+            let from_us = window.from_us + number * self.width_us;
+            let to_us = (from_us + self.width_us).min(window.to_us);
+            match served.last_mut() {
+                Some(last) if from_us - last.to_us <= STALLED_US && last.level == *level => {
+                    last.to_us = to_us
+                }
+                Some(last) => {
+                    if from_us - last.to_us <= STALLED_US {
+                        last.to_us = from_us;
+                    }
+                    served.push(Served { from_us, to_us, level: level.clone() });
+                }
+                None => served.push(Served { from_us, to_us, level: level.clone() }),
+            }
+        }
+        served
+    }
+}
+
 /// All that the page shows.
 pub struct Findings {
     /// The window.
--- a/crates/report/src/page.rs
+++ b/crates/report/src/page.rs
@@ -181,6 +181,8 @@
             by_supervisor(found, class, move |c| c.levels.get(at).copied().unwrap_or(1.0))
         })
         .collect();
+    let bands: Vec<(&str, Vec<crate::gather::Served>)> =
+        names.iter().map(|name| (*name, found.columns.served(name, found.window))).collect();
     let draw =
         |title: &str, lines: &[Line], most| chart::lines(axis, title, lines, &names, most, &found.gaps);
     html! {
@@ -197,6 +199,13 @@
             @if full > 0 { p.note { (full) " rows of servers that were full all the time are left out." } }
             @if hidden > 0 { p.note { (hidden) " more rows do not fit; `chutegrade records list` has them." } }
         }
+        @if bands.iter().any(|(_, served)| !served.is_empty()) {
+            section {
+                h2 { "Levels of service" }
+                (chart::bands(axis, &bands, &found.gaps))
+                p.note { "A thin line is full service; each change stands among the events, with its condition and what signals showed." }
+            }
+        }
         section {
             h2 { "Figures" }
             (draw("servers reduced or withdrawn", &by_supervisor(found, "out", |c| f64::from(c.out)), None))
--- a/crates/report/tests/page.rs
+++ b/crates/report/tests/page.rs
@@ -139,3 +139,44 @@
     let page = report(&open(directory.path()), Window { from_us: 0, to_us: 14 * SECOND }, Limits::default());
     assert!(page.contains("No trouble was recorded") && page.contains("The records have no gap."));
 }
+
+/// Levels of service are a band with names, and each change is an event with its cause.
+#[test]
+fn levels_of_service_are_a_band_with_names() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let level = |second: i64| if (20..50).contains(&second) { "fewer reads" } else { "full" };
+    let mut kinds = vec![(0, 0, started())];
+    for second in 0..80 {
+        let at = second * SECOND;
+        if level(second) != level(second - 1) {
+            let of = pb::ServiceLevel {
+                from: level(second - 1).into(),
+                to: level(second).into(),
+                number: u32::from(level(second) != "full"),
+                reason: "entered".into(),
+                condition: "SATURATION above 0.6 for 2 s".into(),
+                signals: vec![pb::Signal { name: "SATURATION".into(), value: Some(0.71), age_ms: 1500 }],
+                tell: vec!["desk <b>".into()],
+            };
+            kinds.push((at, at, Kind::ServiceLevel(of)));
+        }
+        let service_level = Some(level(second).to_string());
+        kinds.push((
+            at,
+            at,
+            Kind::Gauge(pb::Gauge { service_level, levels: vec![1.0], ..pb::Gauge::default() }),
+        ));
+    }
+    write(&directory.path().join("n0"), "n0", kinds);
+    let window = Window { from_us: 0, to_us: 80 * SECOND };
+    let page = report(&open(directory.path()), window, Limits::default());
+    assert!(page.contains("Levels of service") && page.contains(">fewer reads</text>"), "no band");
+    let rows = rows(&page);
+    let told =
+        rows.iter().find(|row| row.contains("service level fewer reads after full")).expect("the change");
+    assert!(
+        told.contains("SATURATION above 0.6 for 2 s; SATURATION 0.71 1.5 s ago; tell desk &lt;b&gt;"),
+        "{told}"
+    );
+    assert!(page.contains("service reduced to fewer reads"), "the summary");
+}
