--- a/crates/console/src/draw.rs
+++ b/crates/console/src/draw.rs
@@ -114,7 +114,7 @@
         let block = block(title);
         let inner = block.inner(*area);
         frame.render_widget(block, *area);
-        let lines = if let Some(gap) = &side.gap { not_known(gap, inner) } else { fleet(side, inner) };
+        let lines = if let Some(gap) = &side.gap { not_known(gap, inner) } else { fleet(app, side, inner) };
         frame.render_widget(Paragraph::new(lines), inner);
     }
 }
@@ -154,7 +154,7 @@
     }
 }
 
-fn fleet(side: &Side, area: Rect) -> Vec<Line<'static>> {
+fn fleet(app: &App, side: &Side, area: Rect) -> Vec<Line<'static>> {
     let picture = &side.picture;
     let mut lines = Vec::new();
     if picture.stopped {
@@ -166,7 +166,7 @@
     if picture.cold_held {
         lines.push(Line::styled("cold servers are held out of tables", Style::new().fg(Color::Yellow)));
     }
-    lines.extend(service(side, area.width));
+    lines.extend(service(side, area.width, (app.at_us, app.span_us())));
     lines.push(levels(side));
     let mut zones: Vec<&str> = picture.servers.values().map(|server| server.zone.as_str()).collect();
     zones.sort_unstable();
@@ -219,7 +219,7 @@
 }
 
 /// The level of service with its time and signals, and below it a band over the span: a letter for each change.
-fn service(side: &Side, width: u16) -> Vec<Line<'static>> {
+fn service(side: &Side, width: u16, span: (i64, i64)) -> Vec<Line<'static>> {
     let Some(level) = &side.picture.service_level else { return Vec::new() };
     let full = level == "full";
     let style = if full {
@@ -242,38 +242,35 @@
     let mut lines = vec![Line::from(spans)];
     let names: Vec<&str> = side.figures.iter().filter_map(|figure| figure.service_level.as_deref()).collect();
     if names.windows(2).any(|two| two[0] != two[1]) {
-        lines.push(band(side, width));
+        lines.push(band(side, width, span));
     }
     lines
 }
 
-/// Levels over the span: nothing where service was full, the level's first letters where it was not.
-fn band(side: &Side, width: u16) -> Line<'static> {
+/// Levels over the span: a line where service was full, the level's name where it was not, hatched where nothing is known.
+fn band(side: &Side, width: u16, (at_us, span_us): (i64, i64)) -> Line<'static> {
     let width = usize::from(width).saturating_sub(8).max(1);
-    let (Some(first), Some(last)) = (side.figures.first(), side.figures.last()) else { return Line::raw("") };
-    let span = (last.at_us - first.at_us).max(1);
-    let mut cells: Vec<&str> = vec!["full"; width];
+    let from = at_us.saturating_sub(span_us);
+    let step = (span_us / width as i64).max(1);
+    // Figures come each second: columns narrower than that hold the one before.
+    let reach = usize::try_from(4_000_000 / step).unwrap_or(0);
+    let mut cells: Vec<Option<&str>> = vec![None; width];
     for figure in &side.figures {
-        let at = (width as i64 - 1) * (figure.at_us - first.at_us) / span;
-        let level = figure.service_level.as_deref().unwrap_or("full");
-        if let Some(cell) = usize::try_from(at).ok().and_then(|at| cells.get_mut(at)) {
-            *cell = level;
-        }
-        // Columns narrower than a second hold the one before.
-        if let Ok(at) = usize::try_from(at) {
-            cells.iter_mut().skip(at + 1).for_each(|cell| *cell = level);
-        }
+        let at = usize::try_from((figure.at_us - from) / step).unwrap_or(0).min(width - 1);
+        let level = figure.service_level.as_deref();
+        cells.iter_mut().skip(at).take(reach + 1).for_each(|cell| *cell = level);
     }
     let mut spans = vec![Span::styled("levels  ", soft())];
     for run in cells.chunk_by(|one, other| one == other) {
-        let level = run.first().copied().unwrap_or("full");
-        if level == "full" {
-            spans.push(Span::styled("─".repeat(run.len()), soft()));
-        } else {
-            let name: String = text::printable(level).chars().take(run.len()).collect();
-            let pad = run.len().saturating_sub(name.chars().count());
-            let style = Style::new().fg(Color::Black).bg(Color::Yellow);
-            spans.push(Span::styled(format!("{name}{}", " ".repeat(pad)), style));
+        match run.first().copied().flatten() {
+            None => spans.push(Span::styled("░".repeat(run.len()), soft())),
+            Some("full") => spans.push(Span::styled("─".repeat(run.len()), soft())),
+            Some(level) => {
+                let name: String = text::printable(level).chars().take(run.len()).collect();
+                let pad = run.len().saturating_sub(name.chars().count());
+                let style = Style::new().fg(Color::Black).bg(Color::Yellow);
+                spans.push(Span::styled(format!("{name}{}", " ".repeat(pad)), style));
+            }
         }
     }
     Line::from(spans)
--- a/crates/console/tests/frames.rs
+++ b/crates/console/tests/frames.rs
@@ -209,3 +209,34 @@
     let app = at(&[directory.path().to_path_buf()], 1);
     assert!(!text(&app, 120, 40).contains('\u{1b}'));
 }
+
+/// The level of service has its name, its time, its signals, and a band with the name once it has changed.
+#[test]
+fn levels_of_service_are_shown_with_names() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let level = |second: i64| if (20..45).contains(&second) { "fewer reads" } else { "full" };
+    let gauge = |second: i64| {
+        Kind::Gauge(pb::Gauge {
+            service_level: Some(level(second).into()),
+            level_since_us: (1000 + if second < 20 { 0 } else { 20 }) * SECOND,
+            signals: vec![pb::Signal { name: "SATURATION".into(), value: Some(0.42), age_ms: 2500 }],
+            levels: vec![1.0],
+            ..pb::Gauge::default()
+        })
+    };
+    let record = |second: i64| Record {
+        seq: second as u64 + 1,
+        at_us: (1000 + second) * SECOND,
+        learned_us: (1000 + second) * SECOND,
+        kind: Some(gauge(second)),
+    };
+    let all: Vec<Record> = (0..60).map(record).collect();
+    write(&directory.path().join("n0"), "n0", &all);
+    let given = vec![directory.path().to_path_buf()];
+    let shown = text(&at(&given, 1040), 160, 40);
+    assert!(shown.contains("service fewer reads for 20.0 s  SATURATION 0.42 2.5 s ago"), "{shown}");
+    let band = shown.lines().find(|line| line.starts_with("levels ")).expect("a band");
+    assert!(band.contains('░') && band.contains('─') && band.contains("fewer"), "{band}");
+    let calm = text(&at(&given, 1015), 160, 40);
+    assert!(calm.contains("service full") && !calm.lines().any(|line| line.starts_with("levels ")), "{calm}");
+}
--- a/crates/limits/tests/ladder.rs
+++ b/crates/limits/tests/ladder.rs
@@ -326,6 +326,7 @@
         }
     }
     assert_eq!(levels, BTreeSet::from([0, 1, 2, 3]));
+    println!("{} states", seen.len());
     assert!(seen.len() > 300, "{} states", seen.len());
 }
 
--- a/crates/model/src/measure.rs
+++ b/crates/model/src/measure.rs
@@ -80,6 +80,8 @@
     pub events: u64,
     /// When each server that a trouble struck was first left by all front ends, by the trouble's number: seconds after.
     pub shut_out_s: Vec<f64>,
+    /// When each of these that was left was first picked again, in seconds after its trouble ended.
+    pub restored_s: Vec<f64>,
     /// Changes of the level of service, in the order of time.
     pub changes: Vec<LevelChange>,
 }
@@ -112,6 +114,7 @@
     counts: BTreeMap<&'static str, f64>,
     tops: BTreeMap<&'static str, f64>,
     shut_out_s: Vec<f64>,
+    restored_s: Vec<f64>,
     changes: Vec<LevelChange>,
 }
 
@@ -130,6 +133,7 @@
             counts: BTreeMap::new(),
             tops: BTreeMap::new(),
             shut_out_s: Vec::new(),
+            restored_s: Vec::new(),
             changes: Vec::new(),
         }
     }
@@ -155,6 +159,11 @@
         self.shut_out_s.push(seconds);
     }
 
+    /// A server that was left is picked again, so many seconds after its trouble ended.
+    pub fn restored(&mut self, seconds: f64) {
+        self.restored_s.push(seconds);
+    }
+
     /// How things stand at the end of a second.
     pub fn stands(&mut self, second: usize, queue: f64, backlog: f64) {
         if let Some(of) = self.seconds.get_mut(second) {
@@ -195,7 +204,7 @@
 
     /// All that was counted.
     pub fn finish(self, scenario: &Scenario, broken: Vec<Broken>, events: u64) -> Outcome {
-        let Meter { classes, mut seconds, counts, tops, shut_out_s, changes } = self;
+        let Meter { classes, mut seconds, counts, tops, shut_out_s, restored_s, changes } = self;
         let mut figures = service(&seconds, &classes, &scenario.service);
         let mut put = |name: &str, value: f64| {
             figures.insert(name.to_string(), value);
@@ -231,12 +240,15 @@
         if !shut_out_s.is_empty() {
             put("shut_out_s", shut_out_s.iter().sum::<f64>() / shut_out_s.len() as f64);
         }
+        if !restored_s.is_empty() {
+            put("restored_s", restored_s.iter().sum::<f64>() / restored_s.len() as f64);
+        }
         if seconds.last().is_some_and(|last| last.asked == 0.0) {
             seconds.pop();
         }
         let classes =
             classes.iter().zip(&scenario.classes).map(|(of, class)| of.outcome(&class.name)).collect();
-        Outcome { figures, classes, seconds, broken, events, shut_out_s, changes }
+        Outcome { figures, classes, seconds, broken, events, shut_out_s, restored_s, changes }
     }
 }
 
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -159,6 +159,8 @@
     pub(crate) struck: Vec<Struck>,
     pub(crate) ways_troubled: bool,
     watched: Vec<(u32, u64)>,
+    /// Servers whose trouble ended while nobody picked them, since when.
+    healing: Vec<(u32, u64)>,
     by_zone: Vec<Vec<u32>>,
     names: FxHashMap<Rc<str>, u32>,
     news: Vec<u32>,
@@ -239,6 +241,7 @@
             struck: vec![Struck::default(); scenario.troubles.len()],
             ways_troubled: scenario.troubles.iter().any(|of| of.sort == crate::scenario::Sort::Way),
             watched: Vec::new(),
+            healing: Vec::new(),
             by_zone: vec![Vec::new(); scenario.zones.len()],
             names: FxHashMap::default(),
             news: Vec::new(),
@@ -1549,6 +1552,14 @@
 
     // Housekeeping.
 
+    /// A trouble of servers has ended: those that nobody picks are watched until somebody does.
+    pub(crate) fn watch_healed(&mut self, number: usize) {
+        let picked = |server: u32| self.fronts.iter().any(|front| front.up && front.picks(server));
+        let left = self.struck[number].whom.iter().map(|at| *at as u32).filter(|server| !picked(*server));
+        let left: Vec<(u32, u64)> = left.map(|server| (server, self.now)).collect();
+        self.healing.extend(left);
+    }
+
     pub(crate) fn watch_struck(&mut self, number: usize) {
         let whom = &self.struck[number].whom;
         self.watched.extend(whom.iter().map(|at| (*at as u32, self.now)));
@@ -1594,6 +1605,14 @@
                 }
             }
         }
+        let healing = std::mem::take(&mut self.healing);
+        for (server, since) in healing {
+            if self.fronts.iter().any(|front| front.up && front.picks(server)) {
+                self.meter.restored((now - since) as f64 / 1e6);
+            } else {
+                self.healing.push((server, since));
+            }
+        }
         let watched = std::mem::take(&mut self.watched);
         for (server, since) in watched {
             if self.fronts.iter().any(|front| front.up && front.picks(server)) {
--- a/crates/model/src/trouble.rs
+++ b/crates/model/src/trouble.rs
@@ -143,6 +143,9 @@
         let trouble = &scenario.troubles[number];
         self.struck[number].on = false;
         let whom = self.struck[number].whom.clone();
+        if matches!(trouble.sort, Sort::Hang | Sort::FailFast) {
+            self.watch_healed(number);
+        }
         match trouble.sort {
             Sort::Crash | Sort::ZoneLost => {
                 whom.iter().for_each(|at| self.server_starts(*at));
--- a/crates/standins/src/bin/demo.rs
+++ b/crates/standins/src/bin/demo.rs
@@ -29,6 +29,12 @@
 /// Time between two frames where there is no terminal.
 const FRAME_EVERY: Duration = Duration::from_secs(10);
 
+/// What the demonstration switches on beside records: one level of reduced service.
+const LEVELS: &str =
+    "limits { ladder { level { name: \"fewer lookups\" shed { class: \"lookup\" keep: 0.3 }\n\
+    enter { all { signal: SATURATION above: 0.35 for_s: 1 } }\n\
+    leave { all { signal: SATURATION below: 0.2 for_s: 2 } } least_stay_s: 4 tell: \"desk\" } } }";
+
 async fn console(program: &Path, records: &Path, seconds: u64) -> std::io::Result<()> {
     let command = || {
         let mut command = Command::new(program);
@@ -60,7 +66,7 @@
     let (mut interrupt, mut terminate) =
         (signals(SignalKind::interrupt())?, signals(SignalKind::terminate())?);
     println!("starting 10 servers, 8 front ends and 2 supervisors on loopback");
-    let mut stage = Stage::set(&arguments.program, out, 11).await;
+    let mut stage = Stage::set_with(&arguments.program, out, 11, LEVELS).await;
     let records = stage.records();
     let ended = tokio::select! {
         ended = console(&arguments.program, &records, arguments.seconds) => ended.map_err(|fault| format!("the console: {fault}")),
--- a/crates/standins/src/predict.rs
+++ b/crates/standins/src/predict.rs
@@ -131,6 +131,7 @@
         ("p90 ms", Some(outcome.figure("p90_ms"))),
         ("p99 ms", Some(outcome.figure("p99_ms"))),
         ("shut out s", shut),
+        ("restored s", (!outcome.restored_s.is_empty()).then(|| outcome.figure("restored_s"))),
     ]
 }
 
@@ -147,6 +148,7 @@
     let name = |number: usize| format!("s-{}{}", ["a", "b"][number % 2], number / 2 + 1);
     let mut watched: Vec<(String, Instant)> = Vec::new();
     let mut shut_out: Vec<f64> = Vec::new();
+    let (mut healing, mut restored): (Vec<(String, Instant)>, Vec<f64>) = (Vec::new(), Vec::new());
     let mut next = deeds.into_iter().peekable();
     while begun.elapsed() < Duration::from_secs(SECONDS) {
         while let Some((_, on, of)) = next.next_if(|(at, ..)| begun.elapsed() >= Duration::from_secs(*at)) {
@@ -154,8 +156,14 @@
                 Happens::Fail(count) => {
                     for server in (0..count).map(name) {
                         fleet.fail(&server, on);
+                        let picked = CLASSES
+                            .iter()
+                            .flat_map(|class| fleet.picks(class))
+                            .any(|own| own.contains(&server));
                         if on {
                             watched.push((server, Instant::now()));
+                        } else if !picked {
+                            healing.push((server, Instant::now()));
                         }
                     }
                 }
@@ -177,6 +185,13 @@
             }
             picked
         });
+        healing.retain(|(server, since)| {
+            let picked = picks.iter().any(|names| names.contains(server));
+            if picked {
+                restored.push(since.elapsed().as_secs_f64());
+            }
+            !picked
+        });
         sleep(Duration::from_millis(100)).await;
     }
     sleep(Duration::from_millis(2200)).await;
@@ -201,6 +216,7 @@
         ("p90 ms", quantile(0.9)),
         ("p99 ms", quantile(0.99)),
         ("shut out s", shut),
+        ("restored s", (!restored.is_empty()).then(|| restored.iter().sum::<f64>() / restored.len() as f64)),
     ]
 }
 
