--- a/crates/adapter/src/limits.rs
+++ b/crates/adapter/src/limits.rs
@@ -1,17 +1,12 @@
 //! Limits on service on the simulator's wire: what is seen in its events, and what is decided as one more event. Classes have
 //! no names there; they are numbered, `c0` being the first.
 
+use chutegrade_levels::{way, STANDS, TURN_EVERY};
 use chutegrade_limits::govern::{Demand, Inputs, Orders, Outcome};
-use chutegrade_limits::repeats::Again;
-use chutegrade_limits::{pb, Class, Effect, Fault, Governor, Plan};
-use chutegrade_policy::interface::{self as policy, ClassId, Event, Limits, Micros, Retry, Settings};
+use chutegrade_limits::{pb, Class, Fault, Governor, Plan};
+use chutegrade_policy::interface::{ClassId, Event, Limits, Micros, Settings};
 use chutegrade_policy::policy::Policy;
 
-/// Time between two turns: reports come no oftener.
-const TURN_EVERY: Micros = Micros(1_000_000);
-/// How long what is decided stands without being said again: a turn that is late, or two.
-const STANDS: Micros = Micros(4_000_000);
-
 /// Limits of one instance.
 pub struct Service {
     governor: Governor,
@@ -23,19 +18,8 @@
 }
 
 fn classes(settings: &Settings) -> Vec<Class> {
-    let class = |(number, of): (usize, &policy::Class)| Class {
-        name: format!("c{number}"),
-        worth: of.worth,
-        aim_s: of.aim.secs(),
-        deadline_s: of.deadline.secs(),
-        effect: match of.effect {
-            policy::Effect::Safe => Effect::Safe,
-            policy::Effect::Keyed(policy::Scope::All, window) => Effect::Keyed(window.secs()),
-            policy::Effect::Keyed(..) => Effect::Keyed(0.0),
-            policy::Effect::Unsafe => Effect::Unsafe,
-        },
-    };
-    settings.classes.iter().enumerate().map(class).collect()
+    let named = |(number, of)| chutegrade_levels::class(format!("c{number}"), of);
+    settings.classes.iter().enumerate().map(named).collect()
 }
 
 impl Service {
@@ -94,16 +78,11 @@
 
 fn limits(orders: &Orders, now: Micros) -> Limits {
     let class = |at: usize| ClassId(u8::try_from(at).unwrap_or(u8::MAX));
-    let way = |again: &Again| match again {
-        Again::Never => Retry::Never,
-        Again::Unrun => Retry::Unrun,
-        Again::Once => Retry::Once,
-    };
     Limits {
         refuse: orders.refuse,
         heavy: orders.heavy,
         keep: orders.keep.iter().map(|(at, keep)| (class(*at), *keep)).collect(),
-        again: orders.again.iter().enumerate().map(|(at, again)| (class(at), way(again))).collect(),
+        again: orders.again.iter().enumerate().map(|(at, again)| (class(at), way(*again))).collect(),
         until: now + STANDS,
     }
 }
--- a/crates/levels/src/lib.rs
+++ b/crates/levels/src/lib.rs
@@ -6,6 +6,7 @@
 use chutegrade_limits::repeats::Again;
 use chutegrade_limits::signals::SIGNALS;
 use chutegrade_limits::{pb as limits, Change, Class, Effect, Governor, Plan, Signal};
+use chutegrade_policy::interface as policy;
 use chutegrade_records::{pb, Kind};
 
 /// Time between two turns: reports come no oftener.
@@ -13,6 +14,26 @@
 /// How long what limits decide stands without being said again: a turn that is late, or two.
 pub const STANDS: Micros = Micros(4_000_000);
 
+/// A class of the settings, as limits need it.
+pub fn class(name: String, of: &policy::Class) -> Class {
+    let effect = match of.effect {
+        policy::Effect::Safe => Effect::Safe,
+        policy::Effect::Keyed(policy::Scope::All, window) => Effect::Keyed(window.secs()),
+        policy::Effect::Keyed(..) => Effect::Keyed(0.0),
+        policy::Effect::Unsafe => Effect::Unsafe,
+    };
+    Class { name, worth: of.worth, aim_s: of.aim.secs(), deadline_s: of.deadline.secs(), effect }
+}
+
+/// A way of trying again, as the decisions have it.
+pub fn way(again: Again) -> Retry {
+    match again {
+        Again::Never => Retry::Never,
+        Again::Unrun => Retry::Unrun,
+        Again::Once => Retry::Once,
+    }
+}
+
 /// The classes of an engine, as limits need them.
 pub fn classes(engine: &Engine) -> Vec<Class> {
     let class = |of: &chutegrade_engine::ClassView| Class {
@@ -138,19 +159,12 @@
 /// What limits decide, by names.
 pub fn limited(orders: &Orders, engine: &Engine, now: Micros) -> Limited {
     let class = |at: usize| engine.classes().get(at).map(|class| class.name.clone());
-    let way = |(at, again): (usize, &Again)| {
-        let retry = match again {
-            Again::Never => Retry::Never,
-            Again::Unrun => Retry::Unrun,
-            Again::Once => Retry::Once,
-        };
-        Some((class(at)?, retry))
-    };
+    let again = |(at, again): (usize, &Again)| Some((class(at)?, way(*again)));
     Limited {
         refuse: orders.refuse,
         heavy: orders.heavy,
         keep: orders.keep.iter().filter_map(|(at, keep)| Some((class(*at)?, *keep))).collect(),
-        again: orders.again.iter().enumerate().filter_map(way).collect(),
+        again: orders.again.iter().enumerate().filter_map(again).collect(),
         until: now + STANDS,
     }
 }
--- a/crates/model/src/supervisor.rs
+++ b/crates/model/src/supervisor.rs
@@ -9,8 +9,8 @@
 use chutegrade_engine::{Decides, Engine, Lifecycle, Listed, Load, Micros, Order, Part, Report};
 
 use chutegrade_levels::Service;
-use chutegrade_limits::{pb as limits, Class, Effect, Plan};
-use chutegrade_policy::interface::{self as policy, Settings};
+use chutegrade_limits::{pb as limits, Class, Plan};
+use chutegrade_policy::interface::Settings;
 use chutegrade_traffic::Traffic;
 
 use crate::scenario::Scenario;
@@ -74,19 +74,11 @@
 
 /// The classes of a scenario, as limits need them.
 fn classes(scenario: &Scenario) -> Vec<Class> {
-    let class = |of: &crate::scenario::Class| Class {
-        name: of.name.clone(),
-        worth: of.worth,
-        aim_s: of.aim_us as f64 / 1e6,
-        deadline_s: of.deadline_us as f64 / 1e6,
-        effect: match of.effect {
-            policy::Effect::Safe => Effect::Safe,
-            policy::Effect::Keyed(policy::Scope::All, window) => Effect::Keyed(window.secs()),
-            policy::Effect::Keyed(..) => Effect::Keyed(0.0),
-            policy::Effect::Unsafe => Effect::Unsafe,
-        },
-    };
-    scenario.classes.iter().map(class).collect()
+    let own = scenario.settings(0).classes;
+    own.iter()
+        .zip(&scenario.classes)
+        .map(|(class, of)| chutegrade_levels::class(of.name.clone(), class))
+        .collect()
 }
 
 impl Setup {
