--- a/crates/adapter/src/limits.rs
+++ b/crates/adapter/src/limits.rs
@@ -1,8 +1,9 @@
 //! Limits on service on the simulator's wire: what is seen in its events, and what is decided as one more event. Classes have
 //! no names there; they are numbered, `c0` being the first.
 
-use chutegrade_levels::{way, STANDS, TURN_EVERY};
-use chutegrade_limits::govern::{Demand, Inputs, Orders, Outcome};
+use chutegrade_engine::Measure;
+use chutegrade_levels::{seen, way, STANDS, TURN_EVERY};
+use chutegrade_limits::govern::{Demand, Orders, Outcome};
 use chutegrade_limits::{pb, Class, Fault, Governor, Plan};
 use chutegrade_policy::interface::{ClassId, Event, Limits, Micros, Settings};
 use chutegrade_policy::policy::Policy;
@@ -12,9 +13,7 @@
     governor: Governor,
     period: Micros,
     due: Option<Micros>,
-    heard: Option<Micros>,
-    demand: Vec<Demand>,
-    outcomes: Vec<Outcome>,
+    measure: Measure,
 }
 
 fn classes(settings: &Settings) -> Vec<Class> {
@@ -31,9 +30,7 @@
             governor: Governor::new(plan, classes, settings.proxies),
             period: settings.report_period.max(TURN_EVERY),
             due: None,
-            heard: None,
-            demand: Vec::new(),
-            outcomes: Vec::new(),
+            measure: Measure::default(),
         })
     }
 
@@ -44,18 +41,9 @@
             return None;
         }
         self.due = Some(now + TURN_EVERY);
-        let figures = policy.figures();
-        let inputs = Inputs {
-            now: now.0,
-            heard: self.heard.map(|heard| heard.0),
-            period: self.period.0,
-            strain: figures.strain,
-            levels: figures.levels,
-            warm: figures.warm,
-            cut: figures.cut,
-            demand: std::mem::take(&mut self.demand),
-            outcomes: std::mem::take(&mut self.outcomes),
-        };
+        let kept = Measure { heard: self.measure.heard, ..Measure::default() };
+        let measure = std::mem::replace(&mut self.measure, kept);
+        let inputs = seen(now, self.period, measure, policy.figures());
         Some(Event::Limits(limits(&self.governor.turn(&inputs).orders, now)))
     }
 
@@ -63,16 +51,16 @@
         match event {
             Event::Usage { proxy, class, came, failed, .. } => {
                 let class = usize::from(class.0);
-                self.demand.push(Demand { proxy: proxy.0, class, came: *came, failed: *failed });
+                self.measure.demand.push(Demand { proxy: proxy.0, class, came: *came, failed: *failed });
             }
             Event::Heard { tries, failed, mean_ms, load, .. } => {
                 let (tries, failed, mean_ms) = (*tries, *failed, *mean_ms);
-                self.outcomes.push(Outcome { tries, failed, mean_ms, queue: load.queue });
+                self.measure.outcomes.push(Outcome { tries, failed, mean_ms, queue: load.queue });
             }
             Event::Probed { .. } => {}
             _ => return,
         }
-        self.heard = Some(now);
+        self.measure.heard = Some(now);
     }
 }
 
--- a/crates/advice/src/lib.rs
+++ b/crates/advice/src/lib.rs
@@ -61,14 +61,14 @@
     let class = |(of, level): (&chutegrade_engine::ClassView, f64)| Class {
         name: of.name.as_str().into(),
         effect: of.effect.into(),
-        worth: of.worth,
+        worth: of.class.worth,
         level,
     };
     Inputs {
         servers: fleet.servers.iter().map(standing).collect(),
         classes: engine.classes().iter().zip(levels).map(class).collect(),
         zones: zones.iter().map(|zone| zone.as_str().into()).collect(),
-        fleet: fleet_in(&gauge, engine.demand()),
+        fleet: fleet_in(&gauge, engine.figures().demand),
     }
 }
 
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,11 +2,12 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
+use chutegrade_limits::govern::{Demand, Outcome};
 use chutegrade_policy::interface::*;
 use chutegrade_policy::policy::Policy;
 use chutegrade_records::{pb, Kind};
 
-use crate::measure::{Came, Measure, Measuring, Met, Standing as Stands};
+use crate::measure::{Measure, Measuring};
 use crate::names::{Listed, Names};
 use crate::notes::{self, Noted, Notes};
 use crate::order::Order;
@@ -129,14 +130,8 @@
     pub name: String,
     /// `safe`, `keyed` or `unsafe`: what a second run would do.
     pub effect: &'static str,
-    /// What an answer in time is worth.
-    pub worth: f64,
-    /// Answers within this time earn it.
-    pub aim: Micros,
-    /// The client gives up after this time.
-    pub deadline: Micros,
-    /// Repeats within this time are dropped by all servers.
-    pub window: Option<Micros>,
+    /// All that they say of it.
+    pub class: Class,
 }
 
 /// A report names what this supervisor does not know; it was dropped.
@@ -261,12 +256,7 @@
                 Effect::Keyed(..) => "keyed",
                 Effect::Unsafe => "unsafe",
             };
-            let window = match class.effect {
-                Effect::Keyed(Scope::All, window) => Some(window),
-                _ => None,
-            };
-            let (name, worth, aim, deadline) = (name.clone(), class.worth, class.aim, class.deadline);
-            ClassView { name, effect, worth, aim, deadline, window }
+            ClassView { name: name.clone(), effect, class: *class }
         };
         Engine {
             classes: settings.classes.iter().zip(&classes).map(view).collect(),
@@ -317,7 +307,7 @@
                 let (at, id) = (self.zone(&zone)?, id.ok_or_else(|| Unknown::Server(server.clone()))?);
                 self.notes.heard((&zone, &server), tries, failed, period);
                 self.measuring.heard();
-                self.measuring.met(Met { tries, failed, mean_ms, queue: load.queue });
+                self.measuring.met(Outcome { tries, failed, mean_ms, queue: load.queue });
                 let (zone, server) = (at, id);
                 Event::Heard { zone, server, tries, failed, mean_ms, period, load }
             }
@@ -328,7 +318,7 @@
                     return Err(Unknown::Proxy(proxy));
                 }
                 self.measuring.heard();
-                self.measuring.came(Came { proxy, class: class.0.into(), came, failed });
+                self.measuring.came(Demand { proxy, class: class.0.into(), came, failed });
                 Event::Usage { proxy: id, class, came, failed, period }
             }
             Report::Ack { stream, mark, took } => {
@@ -394,9 +384,9 @@
         self.measuring.take()
     }
 
-    /// How the fleet stands after the last tick.
-    pub fn standing(&self) -> Stands {
-        self.policy.figures().into()
+    /// The fleet in figures, after the last tick.
+    pub fn figures(&self) -> Figures {
+        self.policy.figures()
     }
 
     /// The classes as the settings describe them.
@@ -404,11 +394,6 @@
         &self.classes
     }
 
-    /// Requests a second that come to all joined proxies.
-    pub fn demand(&self) -> f64 {
-        self.policy.figures().demand
-    }
-
     fn zone(&self, name: &str) -> Result<ZoneId, Unknown> {
         let known = self.names.zone(name).filter(|zone| usize::from(zone.0) < self.zones);
         known.ok_or_else(|| Unknown::Zone(name.to_string()))
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,14 +12,14 @@
 mod tables;
 
 pub use engine::{Advised, ClassView, Decides, Engine, Limited, ListWish, Probe, Report, Unknown};
-pub use measure::{Came, Measure, Met, Standing};
+pub use measure::Measure;
 pub use names::Listed;
 pub use notes::{told, Noted};
 pub use order::{Order, Part};
 
 /// The types that reports share with the decision module.
 pub use chutegrade_policy::interface::{
-    Lifecycle, ListKind, Load, Micros, ProbeEnd, ReportSource, Retry, Settings,
+    Class, Figures, Lifecycle, ListKind, Load, Micros, ProbeEnd, ReportSource, Retry, Settings,
 };
 
 /// A stream of a proxy, numbered by whoever accepts it; a number is never used twice.
--- a/crates/levels/src/lib.rs
+++ b/crates/levels/src/lib.rs
@@ -1,11 +1,11 @@
 //! Between limits and decisions: what limits see of an engine, what they decide as a report that names classes, and their
 //! changes as records. No I/O, no clock, no decision: what becomes of limits the module says.
 
-use chutegrade_engine::{Engine, Limited, Measure, Micros, Report, Retry};
-use chutegrade_limits::govern::{Demand, Inputs, Orders, Outcome};
+use chutegrade_engine::{Engine, Figures, Limited, Measure, Micros, Report, Retry};
+use chutegrade_limits::govern::{Inputs, Orders};
 use chutegrade_limits::repeats::Again;
-use chutegrade_limits::signals::SIGNALS;
-use chutegrade_limits::{pb as limits, Change, Class, Effect, Governor, Plan, Signal};
+use chutegrade_limits::signals::{Shown, SIGNALS};
+use chutegrade_limits::{pb as limits, Change, Class, Effect, Governor, Plan};
 use chutegrade_policy::interface as policy;
 use chutegrade_records::{pb, Kind};
 
@@ -36,19 +36,7 @@
 
 /// The classes of an engine, as limits need them.
 pub fn classes(engine: &Engine) -> Vec<Class> {
-    let class = |of: &chutegrade_engine::ClassView| Class {
-        name: of.name.clone(),
-        worth: of.worth,
-        aim_s: of.aim.secs(),
-        deadline_s: of.deadline.secs(),
-        effect: match (of.effect, of.window) {
-            ("safe", _) => Effect::Safe,
-            (_, Some(window)) => Effect::Keyed(window.secs()),
-            ("keyed", None) => Effect::Keyed(0.0),
-            _ => Effect::Unsafe,
-        },
-    };
-    engine.classes().iter().map(class).collect()
+    engine.classes().iter().map(|of| class(of.name.clone(), &of.class)).collect()
 }
 
 /// Levels, limits and budgets of one supervisor: asked once a second, what they decide handed to the decisions.
@@ -101,7 +89,7 @@
             return None;
         }
         self.due = now + TURN_EVERY;
-        let turn = self.governor.turn(&seen(engine, now, self.period));
+        let turn = self.governor.turn(&seen(now, self.period, engine.pick_measure(), engine.figures()));
         let says = turn.orders != Orders::default();
         if says || self.standing {
             // The queue of reports drops outcomes and demand alone; limits are always taken.
@@ -113,12 +101,9 @@
 
     /// Adds to the figures of one moment what limits know.
     pub fn gauge(&self, gauge: &mut pb::Gauge, now: Micros) {
-        let sample = |signal: Signal| {
-            let newest = self.governor.board().of(signal).last()?;
-            let age_ms = u64::try_from(now.0.saturating_sub(newest.at) / 1000).unwrap_or(0);
-            Some(pb::Signal { name: signal.name().to_string(), value: Some(newest.value), age_ms })
-        };
-        gauge.signals = SIGNALS.into_iter().filter_map(sample).collect();
+        let board = self.governor.board();
+        let shown = SIGNALS.into_iter().map(|signal| board.shown(signal, now.0));
+        gauge.signals = shown.filter(|shown| shown.value.is_some()).map(|shown| signal(&shown)).collect();
         gauge.limit = Some(self.governor.limit().0);
         if let Some(steps) = self.governor.steps() {
             gauge.service_level = Some(steps.name().to_string());
@@ -127,32 +112,18 @@
     }
 }
 
-/// What limits see of the engine since this was last asked.
-pub fn seen(engine: &mut Engine, now: Micros, period: Micros) -> Inputs {
-    let Measure { heard, demand, outcomes } = engine.pick_measure();
-    let standing = engine.standing();
-    let came = |of: &chutegrade_engine::Came| Demand {
-        proxy: of.proxy,
-        class: of.class,
-        came: of.came,
-        failed: of.failed,
-    };
-    let met = |of: &chutegrade_engine::Met| Outcome {
-        tries: of.tries,
-        failed: of.failed,
-        mean_ms: of.mean_ms,
-        queue: of.queue,
-    };
+/// What limits see in a turn: what was reported since the last one, and how the fleet stands.
+pub fn seen(now: Micros, period: Micros, measure: Measure, figures: Figures) -> Inputs {
     Inputs {
         now: now.0,
-        heard: heard.map(|heard| heard.0),
+        heard: measure.heard.map(|heard| heard.0),
         period: period.0,
-        strain: standing.strain,
-        levels: standing.levels,
-        warm: standing.warm,
-        cut: standing.cut,
-        demand: demand.iter().map(came).collect(),
-        outcomes: outcomes.iter().map(met).collect(),
+        strain: figures.strain,
+        levels: figures.levels,
+        warm: figures.warm,
+        cut: figures.cut,
+        demand: measure.demand,
+        outcomes: measure.outcomes,
     }
 }
 
@@ -169,20 +140,20 @@
     }
 }
 
+fn signal(of: &Shown) -> pb::Signal {
+    let age_ms = u64::try_from(of.age / 1000).unwrap_or(0);
+    pb::Signal { name: of.signal.name().to_string(), value: of.value, age_ms }
+}
+
 /// A change of level as a record.
 pub fn changed(change: &Change) -> Kind {
-    let shown = |of: &chutegrade_limits::steps::Shown| pb::Signal {
-        name: of.signal.name().to_string(),
-        value: of.value,
-        age_ms: u64::try_from(of.age / 1000).unwrap_or(0),
-    };
     Kind::ServiceLevel(pb::ServiceLevel {
         from: change.from.clone(),
         to: change.to.clone(),
         number: u32::try_from(change.number).unwrap_or(u32::MAX),
         reason: change.reason.word().to_string(),
         condition: change.condition.clone(),
-        signals: change.shown.iter().map(shown).collect(),
+        signals: change.shown.iter().map(signal).collect(),
         tell: change.tell.clone(),
     })
 }
--- a/crates/limits/src/govern.rs
+++ b/crates/limits/src/govern.rs
@@ -8,7 +8,7 @@
 use crate::pb::{self, adaptive::Rule};
 use crate::repeats::{Again, Repeats, Tried, RATIO};
 use crate::signals::{Board, Sample, Signal};
-use crate::steps::{Change, Row, Steps};
+use crate::steps::{Change, Steps};
 use crate::{cheapest_first, Class};
 
 /// Smoothing of what comes and is answered, a report: reports are lumpy, and half of what is new must count at once.
@@ -232,11 +232,6 @@
         change
     }
 
-    /// What should survive a restart, if there is a ladder.
-    pub fn saved(&self, now: i64) -> Option<pb::Saved> {
-        self.steps.as_ref().map(|steps| steps.saved(now))
-    }
-
     /// Takes up the level from before a restart; or a sentence on why it is left.
     pub fn restore(&mut self, now: i64, saved: &pb::Saved) -> Result<Option<Change>, String> {
         match &mut self.steps {
@@ -245,11 +240,6 @@
         }
     }
 
-    /// How far each condition is from being met.
-    pub fn explain(&self, now: i64) -> Vec<Row> {
-        self.steps.as_ref().map(|steps| steps.explain(now, &self.board)).unwrap_or_default()
-    }
-
     /// The limit's share of the work that is let in, and what it takes the fleet to be able to do over what comes.
     pub fn limit(&self) -> (f64, Option<f64>) {
         (self.limiter.share(), self.board.of(Signal::Room).last().map(|sample| sample.value))
@@ -279,29 +269,18 @@
         self.sum(of, seconds);
         // Reports tell of the period that ended; its middle is when it was so.
         let at = of.now.saturating_sub(of.period / 2);
+        let (offered, let_in) = (self.work(&self.rates.came), self.work(&self.rates.let_in));
         let rates = &self.rates;
-        let work = |class: usize| self.classes[class].aim_s;
-        let all = 0..self.classes.len();
-        let offered: f64 = all.clone().map(|class| rates.came[class] * work(class)).sum();
-        let let_in = rates.let_in.clone();
-        let let_in_work: f64 = all.clone().map(|class| let_in[class] * work(class)).sum();
-        let (came, admitted) = (rates.came.iter().sum::<f64>(), let_in.iter().sum::<f64>());
+        let (came, admitted) = (rates.came.iter().sum::<f64>(), rates.let_in.iter().sum::<f64>());
         let refused = (came - admitted).max(0.0);
         let failed: f64 = rates.failed.iter().sum();
         let in_time = if admitted > 0.0 { (rates.in_time / admitted).min(1.0) } else { 0.0 };
         let answered = if admitted > 0.0 { (rates.good / admitted).min(1.0) } else { 0.0 };
-        let good = let_in_work * answered;
+        let good = let_in * answered;
         let ordered = if came > 0.0 { refused / came } else { 0.0 };
         self.comings.learn(Came { came, refused, failed, ordered });
-        let seen = Seen {
-            seconds,
-            offered,
-            let_in: let_in_work,
-            good,
-            strain: of.strain,
-            took_ms: rates.took_ms,
-            warm: of.warm,
-        };
+        let seen =
+            Seen { seconds, offered, let_in, good, strain: of.strain, took_ms: rates.took_ms, warm: of.warm };
         self.limiter.step(&seen);
         let again = self.comings.share();
         let sure = (admitted * seconds / SURE).min(1.0);
@@ -316,7 +295,7 @@
                 seconds,
                 tries: rates.tries * seconds,
                 good: rates.good * seconds,
-                let_in: let_in.iter().map(|rate| rate * seconds).collect(),
+                let_in: rates.let_in.iter().map(|rate| rate * seconds).collect(),
                 failed: rates.failed.iter().map(|rate| rate * seconds).collect(),
                 strain: of.strain,
                 room,
@@ -330,6 +309,11 @@
         }
     }
 
+    /// The work in requests by class: their aims stand for it.
+    fn work(&self, requests: &[f64]) -> f64 {
+        requests.iter().zip(&self.classes).map(|(requests, class)| requests * class.aim_s).sum()
+    }
+
     /// What was reported since the last turn, as rates.
     fn sum(&mut self, of: &Inputs, seconds: f64) {
         let smooth = |old: &mut f64, new: f64| *old += NEWEST * (new - *old);
@@ -352,7 +336,7 @@
                 smooth(&mut self.rates.let_in[class], level * came[class] / seconds);
             }
         }
-        let aims: f64 = (0..count).map(|class| self.rates.came[class] * self.classes[class].aim_s).sum();
+        let aims = self.work(&self.rates.came);
         let all: f64 = self.rates.came.iter().sum();
         let aim_ms = if all > 0.0 { 1000.0 * aims / all } else { 0.0 };
         let (mut tries, mut good, mut in_time, mut took) = (0.0, 0.0, 0.0, 0.0);
@@ -409,8 +393,7 @@
     fn refuse(&self) -> f64 {
         let came = &self.rates.came;
         let all: f64 = came.iter().sum();
-        let work: f64 = (0..came.len()).map(|class| came[class] * self.classes[class].aim_s).sum();
-        let (mut over, mut refused) = (work * (1.0 - self.limiter.share()), 0.0);
+        let (mut over, mut refused) = (self.work(came) * (1.0 - self.limiter.share()), 0.0);
         for class in &self.order {
             let aim = self.classes[*class].aim_s.max(1e-3);
             let gone = (over / aim).min(came[*class] * (1.0 - LET_IN_LEAST));
--- a/crates/limits/src/signals.rs
+++ b/crates/limits/src/signals.rs
@@ -89,6 +89,17 @@
     pub sure: f64,
 }
 
+/// What a signal shows at a moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shown {
+    /// The signal.
+    pub signal: Signal,
+    /// Its newest value, whatever its age; nothing if it never told.
+    pub value: Option<f64>,
+    /// The age of that value, in microseconds.
+    pub age: i64,
+}
+
 /// Samples below this are passed over: they rest on next to nothing.
 const SURE_LEAST: f64 = 0.2;
 
@@ -135,6 +146,16 @@
         (now.saturating_sub(newest.at) <= most_age).then_some(newest)
     }
 
+    /// What a signal shows, whatever the age of its newest value.
+    pub fn shown(&self, signal: Signal, now: i64) -> Shown {
+        let newest = self.of(signal).last();
+        Shown {
+            signal,
+            value: newest.map(|of| of.value),
+            age: newest.map_or(0, |of| now.saturating_sub(of.at)),
+        }
+    }
+
     /// For how long a signal has told that something holds, in microseconds by its own times, up to the newest sample:
     /// samples that arrive together count as much as they would have one by one. Nothing while the newest tells otherwise;
     /// a hole longer than `most_hole` ends what was before it.
--- a/crates/limits/src/steps.rs
+++ b/crates/limits/src/steps.rs
@@ -5,7 +5,7 @@
 use crate::condition::{Distance, Known};
 use crate::ladder::{used, Ladder};
 use crate::pb;
-use crate::signals::{Board, Signal};
+use crate::signals::{Board, Shown, Signal};
 
 /// Time that a change takes to show in the signals, in microseconds: orders, their effect, a report and its way. Until then
 /// the signals tell of the level before, and nothing goes further up.
@@ -48,17 +48,6 @@
     }
 }
 
-/// What a signal showed when a level changed.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Shown {
-    /// The signal.
-    pub signal: Signal,
-    /// Its newest value, whatever its age; nothing if it never told.
-    pub value: Option<f64>,
-    /// The age of that value, in microseconds.
-    pub age: i64,
-}
-
 /// A change of level.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
@@ -208,14 +197,7 @@
             self.believed = 1;
         }
         (self.level, self.since, self.missing, self.good) = (number, now, None, None);
-        let shown = used(&self.ladder).into_iter().map(|signal| {
-            let newest = board.of(signal).last();
-            Shown {
-                signal,
-                value: newest.map(|of| of.value),
-                age: newest.map_or(0, |of| now.saturating_sub(of.at)),
-            }
-        });
+        let shown = used(&self.ladder).into_iter().map(|signal| board.shown(signal, now));
         let entered = number.checked_sub(1).and_then(|at| self.ladder.levels.get(at));
         let tell = entered.map(|level| level.tell.clone()).unwrap_or_default();
         Change { from, to: self.name().to_string(), number, reason, condition, shown: shown.collect(), tell }
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -176,6 +176,8 @@
     longest_cold_us: u64,
     /// Recorded requests that have come.
     replayed: usize,
+    /// What the classes, and the zones, of recorded traffic are here.
+    recorded: (Vec<Option<usize>>, Vec<Option<usize>>),
 }
 
 struct Chances {
@@ -255,6 +257,7 @@
             mean_work_ms: work / shares.max(1e-9),
             longest_cold_us: scenario.kinds.iter().map(|kind| kind.cold_us).max().unwrap_or(0),
             replayed: 0,
+            recorded: setup.recorded(scenario),
         }
     }
 
@@ -429,14 +432,7 @@
             drawn < 0.0
         });
         let class = class.unwrap_or(self.scenario.classes.len() - 1);
-        let of = &self.scenario.classes[class];
-        let (zone_drawn, front_drawn, spread) = (chance.share(), chance.share(), chance.spread(of.work_cv));
-        let tries_noise = [chance.spread(of.try_cv), chance.spread(of.try_cv)];
-        let heavy = chance.share() < heavy_share;
-        let work_ms = of.work_ms * spread * if heavy { heavier } else { 1.0 };
-        let zone = self.zone(zone_drawn);
-        let front = self.front_of(zone, front_drawn);
-        self.request(class, zone, front, work_ms, tries_noise);
+        self.request(class, None, None, (heavy_share, heavier));
     }
 
     /// Brings in all recorded requests that came by now. What a record does not say is drawn; troubles weigh on it, but for
@@ -449,26 +445,29 @@
             }
             self.replayed += 1;
             let (_, heavy_share, heavier) = self.pressure();
-            let named = |names: &[String], at: u16| names.get(usize::from(at)).cloned();
-            let class = named(&traffic.classes, of.class);
-            let class = self.scenario.classes.iter().position(|known| Some(&known.name) == class.as_ref());
-            let Some(class) = class else { continue };
-            let zone_name = of.zone.and_then(|zone| named(&traffic.zones, zone));
-            let shape = &self.scenario.classes[class];
-            let chance = &mut self.chances.requests;
-            let (zone_drawn, front_drawn, spread) =
-                (chance.share(), chance.share(), chance.spread(shape.work_cv));
-            let tries_noise = [chance.spread(shape.try_cv), chance.spread(shape.try_cv)];
-            let heavy = chance.share() < heavy_share;
-            let work_ms = of.work_ms.unwrap_or(shape.work_ms * spread) * if heavy { heavier } else { 1.0 };
-            let given = zone_name.and_then(|name| self.scenario.zones.iter().position(|zone| *zone == name));
-            let zone = given.unwrap_or_else(|| self.zone(zone_drawn));
-            let front = self.front_of(zone, front_drawn);
-            self.request(class, zone, front, work_ms, tries_noise);
-        }
-    }
-
-    fn request(&mut self, class: usize, zone: usize, front: u32, work_ms: f64, tries_noise: [f64; 2]) {
+            let (classes, zones) = &self.recorded;
+            let zone = of.zone.and_then(|zone| zones.get(usize::from(zone)).copied().flatten());
+            let Some(class) = classes.get(usize::from(of.class)).copied().flatten() else { continue };
+            self.request(class, zone, of.work_ms, (heavy_share, heavier));
+        }
+    }
+
+    /// A client's request comes; its zone and its work are drawn where they are not given.
+    fn request(
+        &mut self,
+        class: usize,
+        zone: Option<usize>,
+        work_ms: Option<f64>,
+        (heavy_share, heavier): (f64, f64),
+    ) {
+        let of = &self.scenario.classes[class];
+        let chance = &mut self.chances.requests;
+        let (zone_drawn, front_drawn, spread) = (chance.share(), chance.share(), chance.spread(of.work_cv));
+        let tries_noise = [chance.spread(of.try_cv), chance.spread(of.try_cv)];
+        let heavy = chance.share() < heavy_share;
+        let work_ms = work_ms.unwrap_or(of.work_ms * spread) * if heavy { heavier } else { 1.0 };
+        let zone = zone.unwrap_or_else(|| self.zone(zone_drawn));
+        let front = self.front_of(zone, front_drawn);
         let request = self.requests.insert(Request {
             class,
             zone,
--- a/crates/model/src/supervisor.rs
+++ b/crates/model/src/supervisor.rs
@@ -101,6 +101,14 @@
         }
     }
 
+    /// What the classes, and the zones, of recorded traffic are in a scenario.
+    pub fn recorded(&self, scenario: &Scenario) -> (Vec<Option<usize>>, Vec<Option<usize>>) {
+        let Some(traffic) = &self.traffic else { return Default::default() };
+        let class = |name: &String| scenario.classes.iter().position(|class| class.name == *name);
+        let zone = |name: &String| scenario.zones.iter().position(|zone| zone == name);
+        (traffic.classes.iter().map(class).collect(), traffic.zones.iter().map(zone).collect())
+    }
+
     /// Levels, limits and budgets of one supervisor, if they are wanted and fit.
     pub fn service(&self, scenario: &Scenario, engine: &mut Engine) -> Option<Box<Service>> {
         let plan = Plan::read(self.limits.as_ref()?, Some(&classes(scenario))).ok()?;
--- a/crates/supervisor/src/lab.rs
+++ b/crates/supervisor/src/lab.rs
@@ -11,7 +11,7 @@
 
 use crate::cli::{Decider, Lab, LabCommand, Results};
 use crate::plugins::{self, read_one};
-use crate::tools::{said, write_whole};
+use crate::tools::{each, said, write_whole};
 use crate::Fault;
 
 /// `lab`.
@@ -52,7 +52,7 @@
 /// All faults of a file, each on a line with its place.
 fn faults(path: &Path, all: &[chutegrade_textproto::Wrong]) -> Fault {
     let lines: Vec<String> = all.iter().map(|wrong| format!("{}:{wrong}", path.display())).collect();
-    said(lines.join("\nchutegrade: "))
+    each(&lines)
 }
 
 fn plan(path: &Path) -> Result<Plan, Fault> {
@@ -83,9 +83,7 @@
     };
     let limits = match played.limits {
         Some(path) => {
-            let operator = chutegrade_operator::load(path).map_err(|all| {
-                said(all.iter().map(ToString::to_string).collect::<Vec<_>>().join("\nchutegrade: "))
-            })?;
+            let operator = chutegrade_operator::load(path).map_err(|all| each(&all))?;
             operator.limits.map(|limits| limits.written().clone())
         }
         None => None,
--- a/crates/supervisor/src/levels.rs
+++ b/crates/supervisor/src/levels.rs
@@ -10,10 +10,10 @@
 use chutegrade_records::index::Query;
 use chutegrade_records::text::{self, figure, length, printable};
 use chutegrade_records::timeline::{gauge, Event};
-use chutegrade_records::{pb, Timeline};
+use chutegrade_records::{pb, Timeline, Window};
 
 use crate::cli::{Declared, Levels, LevelsCommand};
-use crate::tools::{moment, said};
+use crate::tools::{each, moment, said, window};
 use crate::{config, Fault};
 
 /// Signals before a moment that are looked at, in microseconds: as long as they are kept.
@@ -30,22 +30,14 @@
         }
         LevelsCommand::Simulate { declared, directories, from, to } => {
             let timeline = Timeline::open(directories).map_err(said)?;
-            let span = timeline.span().ok_or_else(|| said("there are no records"))?;
-            let time = |given: &Option<String>, otherwise: i64| match given {
-                Some(text) => text::parse_time(text, span.to_us).map_err(said),
-                None => Ok(otherwise),
-            };
-            let (from, to) = (time(from, span.from_us)?, time(to, span.to_us)?);
-            simulate(&ladder(declared)?, &timeline, (from, to), out)
+            let Window { from_us, to_us } = window(&timeline, from.as_deref(), to.as_deref())?;
+            simulate(&ladder(declared)?, &timeline, (from_us, to_us), out)
         }
     }
 }
 
 fn ladder(declared: &Declared) -> Result<Ladder, Fault> {
-    let all = |faults: Vec<chutegrade_operator::Fault>| {
-        said(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\nchutegrade: "))
-    };
-    let operator = chutegrade_operator::load(&declared.operator).map_err(all)?;
+    let operator = chutegrade_operator::load(&declared.operator).map_err(|all| each(&all))?;
     let shown = declared.operator.display();
     let limits = operator.limits.ok_or_else(|| said(format!("{shown}: no limits are given")))?;
     let usual = limits.written().ladder.as_ref().is_some_and(|ladder| ladder.usual == Some(true));
@@ -54,7 +46,7 @@
         None if usual => return Err(said("the usual ladder derives from the classes: give --config FILE")),
         None => None,
     };
-    let plan = limits.plan(classes.as_deref()).map_err(all)?;
+    let plan = limits.plan(classes.as_deref()).map_err(|all| each(&all))?;
     plan.ladder.ok_or_else(|| said(format!("{shown}: no ladder is given")))
 }
 
--- a/crates/supervisor/src/limits.rs
+++ b/crates/supervisor/src/limits.rs
@@ -9,6 +9,7 @@
 use chutegrade_limits::{pb as limits, Class, Plan};
 use chutegrade_operator::Operator;
 use chutegrade_records::index::Query;
+use chutegrade_records::timeline::gauge;
 use chutegrade_records::{pb, text, Kind, Timeline};
 
 use crate::hub::Hub;
@@ -24,8 +25,8 @@
     service: RefCell<Option<Service>>,
 }
 
-/// All faults in one sentence.
-fn sentence(faults: &[chutegrade_operator::Fault]) -> String {
+/// All faults of the operators' file in one sentence.
+pub fn sentence(faults: &[chutegrade_operator::Fault]) -> String {
     faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
 }
 
@@ -112,11 +113,9 @@
 fn last_level(directory: &Path, now: Micros) -> Option<limits::Saved> {
     let timeline = Timeline::open(&[directory.to_path_buf()]).ok()?;
     let (events, _) = timeline.read(&Query::between(now.0.saturating_sub(LOOK_BACK_US), now.0));
-    events.iter().rev().find_map(|event| match &event.record.kind {
-        Some(Kind::Gauge(of)) => {
-            let level = of.service_level.clone()?;
-            Some(limits::Saved { level, since_us: of.level_since_us, at_us: event.at_us })
-        }
-        _ => None,
+    events.iter().rev().find_map(|event| {
+        let gauge = gauge(event)?;
+        let level = gauge.service_level.clone()?;
+        Some(limits::Saved { level, since_us: gauge.level_since_us, at_us: event.at_us })
     })
 }
--- a/crates/supervisor/src/serve.rs
+++ b/crates/supervisor/src/serve.rs
@@ -15,7 +15,7 @@
 
 use crate::config::{self, Config, Reloaded, Source};
 use crate::hub::Hub;
-use crate::limits::Limits;
+use crate::limits::{sentence, Limits};
 use crate::plugins::Plugins;
 use crate::recording::{self, Book};
 use crate::servers::Servers;
@@ -31,10 +31,7 @@
     let path = operator;
     let operator = path.map_or_else(|| Ok(Operator::default()), chutegrade_operator::load);
     log(operator.as_ref().map_or(LogFormat::Plain, |operator| operator.log));
-    let operator = operator.map_err(|faults| {
-        let said: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        said.join("; ")
-    });
+    let operator = operator.map_err(|faults| sentence(&faults));
     let started = operator.and_then(|operator| {
         config::from_env().map_err(|fault| fault.to_string()).and_then(|told| start(told, &operator, path))
     });
@@ -82,11 +79,9 @@
     let limits = Rc::new(Limits::new(path, operator, &mut engine, period)?);
     let hub = Hub::new(engine);
     if let Some(records) = &operator.records {
-        // Before anything new is recorded: what the start before left.
-        let before = recording::directory(records, &config.name);
         let book = Book::open(records, &config.name, hub.clock);
         hub.record(book.map_err(|fault| format!("no thread for the records: {fault}"))?);
-        limits.restore(&hub, &before);
+        limits.restore(&hub, &recording::directory(records, &config.name));
     }
     let (zones, classes) = hub.engine().vocabulary();
     let version = env!("CARGO_PKG_VERSION").to_string();
--- a/crates/supervisor/src/tools.rs
+++ b/crates/supervisor/src/tools.rs
@@ -69,6 +69,11 @@
     Fault::Said(fault.to_string())
 }
 
+/// All faults of a file, one a line.
+pub fn each(faults: &[impl ToString]) -> Fault {
+    said(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\nchutegrade: "))
+}
+
 fn verify_all(directories: &[PathBuf], out: &mut impl Write) -> Result<(), Fault> {
     let timeline = Timeline::open(directories).map_err(said)?;
     let mut unsound = 0;
@@ -374,16 +379,7 @@
 /// `report`: the page appears whole or not at all.
 pub fn report(report: &Report, out: &mut impl Write) -> Result<(), Fault> {
     let timeline = Timeline::open(&report.directories).map_err(said)?;
-    let span = timeline.span().ok_or_else(|| Fault::Said("no records in these directories".to_string()))?;
-    let time = |given: &Option<String>, usual: i64| match given {
-        Some(text) => text::parse_time(text, span.to_us).map_err(said),
-        None => Ok(usual),
-    };
-    let (from_us, to_us) = (time(&report.from, span.from_us)?, time(&report.to, span.to_us)?);
-    if from_us > to_us {
-        let (from, to) = (text::time(from_us), text::time(to_us));
-        return Err(Fault::Said(format!("nothing lies between {from} and {to}: --from is after --to")));
-    }
+    let Window { from_us, to_us } = window(&timeline, report.from.as_deref(), report.to.as_deref())?;
     let page = chutegrade_report::report(&timeline, Window { from_us, to_us }, Default::default());
     write_whole(&report.out, &page)?;
     let from_to = (text::time(from_us), text::time(to_us));
@@ -397,6 +393,27 @@
     written.map_err(|fault| said(format!("{} cannot be written: {fault}", path.display())))
 }
 
+/// The time from one moment to another as they were asked for, or all of the records'.
+pub fn window(timeline: &Timeline, from: Option<&str>, to: Option<&str>) -> Result<Window, Fault> {
+    let span = timeline.span().ok_or_else(|| Fault::Said("no records in these directories".to_string()))?;
+    let time =
+        |given: Option<&str>, usual: i64| given.map_or(Ok(usual), |text| text::parse_time(text, span.to_us));
+    let window = Window {
+        from_us: time(from, span.from_us).map_err(said)?,
+        to_us: time(to, span.to_us).map_err(said)?,
+    };
+    in_order(window.from_us, window.to_us)?;
+    Ok(window)
+}
+
+fn in_order(from_us: i64, to_us: i64) -> Result<(), Fault> {
+    if from_us <= to_us {
+        return Ok(());
+    }
+    let (from, to) = (text::time(from_us), text::time(to_us));
+    Err(Fault::Said(format!("nothing lies between {from} and {to}: --from is after --to")))
+}
+
 /// A moment as it was asked for, or that of the last record.
 pub fn moment(timeline: &Timeline, at: Option<&str>) -> Result<i64, Fault> {
     let last = timeline.span().map_or(0, |span| span.to_us);
@@ -413,10 +430,7 @@
     let time = |given: &Option<String>| given.as_ref().map(|text| text::parse_time(text, last)).transpose();
     let (from_us, to_us) = (time(&list.from).map_err(said)?, time(&list.to).map_err(said)?);
     if let (Some(from), Some(to)) = (from_us, to_us) {
-        if from > to {
-            let (from, to) = (text::time(from), text::time(to));
-            return Err(Fault::Said(format!("nothing lies between {from} and {to}: --from is after --to")));
-        }
+        in_order(from, to)?;
     }
     let number = |name: &String| {
         let known = || kind::KINDS.map(|(_, name)| name).join(", ");
