Levels ask the channel's account: they wait while a slow channel is full

Each tick the strain moved and with it the levels: one line to each of 742 proxies, with a head and a mark five times 742.

At fault: policy.rs, table_lines: levels asked the message limit alone (`used <= MESSAGES.1`), never what waits.

Change: a turn's orders keep one account, heads and marks included, with what waits before them; levels ask it as ordinary lines do.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -92,9 +92,10 @@
 const NARROW_FROM: (f64, Micros) = (0.3, Micros(30_000_000));
 /// To so many proxies, and at least so many servers, each.
 const NARROW_TO: (f64, f64) = (2.0, 5.0);
-/// Share of the backlog that ordinary updates, and guards and joins, may fill: a zone may drain at once.
+/// Share of the backlog that ordinary updates and levels, and guards and joins, may fill: a zone may drain at
+/// once. Danger: a level reaches all proxies, and a slow channel fills with one each tick.
 const BACKLOG: (f64, f64) = (0.5, 0.65);
-/// Share of the message limit that ordinary updates, and guards, may use; the rest is for drains.
+/// Share of the message limit that ordinary updates, and guards and levels, may use; the rest is for drains.
 const MESSAGES: (f64, f64) = (0.6, 0.8);
 /// Least time between ordinary updates, and before a failed subscription is tried again.
 const UPDATE_EVERY: Micros = Micros(1_000_000);
@@ -713,7 +714,7 @@
         self.channel.forget(now - self.settings.way_most - self.settings.way_most - CHANNEL_SILENT);
         let past = now - self.settings.messages_window;
         self.proxies.values_mut().for_each(|proxy| proxy.written.retain(|at| *at >= past));
-        let mut orders = Orders::default();
+        let mut orders = Orders::new(self.channel.waiting(), self.settings.message_head + 1.0);
         if self.messages_used(self.proxies.keys()) > 1.0 {
             return;
         }
@@ -729,8 +730,7 @@
         if !orders.lines.is_empty() {
             let mark = self.channel.next_mark();
             orders.actions.push(Action::Mark { mark, everyone: false });
-            for (id, lines) in &mut orders.lines {
-                *lines += self.settings.message_head + 1.0;
+            for id in orders.lines.keys() {
                 self.proxies.entry(*id).and_modify(|proxy| proxy.written.push_back(now));
             }
             self.channel.send(now, mark, orders.lines);
@@ -833,7 +833,10 @@
             }
             let levels = if scheme.part == self.parts { &levels.1 } else { &levels.0 };
             for (k, &(level, retry)) in levels.iter().enumerate().filter(|(k, _)| scheme.classes.has(*k)) {
-                if known.levels.get(&k) != Some(&(level, retry)) && (users.is_empty() || used <= MESSAGES.1) {
+                let fits =
+                    |share: f64| orders.waiting + orders.cost(&users, 1.0) <= share * self.settings.backlog;
+                let fits = users.is_empty() || (used <= MESSAGES.1 && fits(BACKLOG.0));
+                if known.levels.get(&k) != Some(&(level, retry)) && fits {
                     known.levels.insert(k, (level, retry));
                     let (table, classes) = (Some(scheme.table), ClassSet::default().with(k));
                     let order = Action::Admit { table, classes, level, retry };
@@ -847,20 +850,17 @@
         let heads = self.proxies.len() as f64 * (self.settings.message_head + 1.0);
         let every = UPDATE_EVERY.secs().max(heads / HEADS_SHARE / self.settings.lines_per_s.max(1.0));
         let due = self.updated.is_none_or(|at| (now - at).secs() >= every);
-        let mut lines = self.channel.waiting() + orders.lines.values().sum::<f64>();
         for Change { scheme: Scheme { table, .. }, server, weight, guard, .. } in changes {
             let Some((users, used)) = tables.get(&table) else { continue };
             if !users.is_empty() {
                 // What rides on a message already due costs none: else refusals and guards use up the limit.
                 let rides = users.iter().all(|user| orders.lines.contains_key(user));
-                let head = if rides { 0.0 } else { self.settings.message_head + 1.0 };
-                let cost = users.len() as f64 * (1.0 + head);
-                let fits = |share: f64| lines + cost <= share * self.settings.backlog;
+                let cost = orders.cost(users, 1.0);
+                let fits = |share: f64| orders.waiting + cost <= share * self.settings.backlog;
                 let ordinary = ((due && *used <= MESSAGES.0) || rides) && fits(BACKLOG.0);
                 if !(ordinary || (guard && *used <= MESSAGES.1 && fits(BACKLOG.1))) {
                     continue;
                 }
-                lines += cost;
                 self.updated = if guard || rides { self.updated } else { Some(now) };
             }
             let known = self.tables.entry(table).or_default();
@@ -917,8 +917,6 @@
         // One that brings withdrawals is told of each server whether it is shut out. Danger: uncounted lines.
         let told = |t: &Table, all: bool| t.lines.keys().filter(|id| all || shut(id)).count();
         let size = |t: &Table, all: bool| 1 + t.lines.len() + t.levels.len() + told(t, all);
-        let head = self.settings.message_head + 1.0;
-        let mut waiting = self.channel.waiting() + orders.lines.values().map(|n| n + head).sum::<f64>();
         let mut proxies: Vec<_> = self.proxies.iter_mut().collect();
         proxies.sort_by(|a, b| a.1.bound.cmp(&b.1.bound).then(b.1.rate().total_cmp(&a.1.rate())));
         for (id, proxy) in proxies.into_iter().filter(|_| self.parts > 0) {
@@ -939,15 +937,15 @@
             let tables = self.schemes.iter().filter(|scheme| scheme.serves(proxy.zone, part));
             let cost = tables.clone().filter_map(|scheme| self.tables.get(&scheme.table));
             let cost = cost.map(|table| size(table, proxy.brought && !proxy.bound) as f64).sum::<f64>();
-            if waiting > 0.0 && waiting + cost + head > BACKLOG.1 * self.settings.backlog {
+            let waits = orders.waiting + orders.cost([&*id], cost);
+            if orders.waiting > 0.0 && waits > BACKLOG.1 * self.settings.backlog {
                 break;
             }
-            waiting += cost + head;
             own.1 -= if proxy.bound { rate } else { 0.0 };
             room.entry((zone, part)).or_default().1 += rate;
             (proxy.part, proxy.bound) = (part, true);
             proxy.tables = tables.clone().map(|scheme| scheme.table).collect();
-            *orders.lines.entry(*id).or_default() += cost;
+            orders.add(*id, cost);
             let bind = |s: &Scheme| Action::Bind { proxy: *id, table: s.table, classes: s.classes };
             orders.actions.extend(tables.map(bind));
         }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -251,19 +251,33 @@
     pub size: f64,
 }
 
-/// The orders of one turn, and the lines they cost at each proxy.
+/// The orders of one turn, what the message to each proxy costs, and all that waits in the channel with them.
 #[derive(Debug, Default)]
 pub(crate) struct Orders {
     pub actions: Vec<Action>,
     pub lines: BTreeMap<ProxyId, f64>,
+    pub waiting: f64,
+    head: f64,
 }
 
 impl Orders {
-    pub fn give(&mut self, action: Action, to: impl Iterator<Item = ProxyId>) {
+    /// Nothing yet, while so many lines wait and a message costs so many beside its own.
+    pub fn new(waiting: f64, head: f64) -> Self {
+        Orders { waiting, head, ..Orders::default() }
+    }
+    /// What so many lines more for each of these cost: one that gets no message yet gets one.
+    pub fn cost<'a>(&self, to: impl IntoIterator<Item = &'a ProxyId>, lines: f64) -> f64 {
+        let head = |id: &ProxyId| if self.lines.contains_key(id) { 0.0 } else { self.head };
+        to.into_iter().map(|id| lines + head(id)).sum()
+    }
+    pub fn add(&mut self, to: ProxyId, lines: f64) {
+        let cost = self.cost([&to], lines);
+        *self.lines.entry(to).or_default() += cost;
+        self.waiting += cost;
+    }
+    pub fn give(&mut self, action: Action, to: impl IntoIterator<Item = ProxyId>) {
         self.actions.push(action);
-        for proxy in to {
-            *self.lines.entry(proxy).or_default() += 1.0;
-        }
+        to.into_iter().for_each(|proxy| self.add(proxy, 1.0));
     }
 }
 
--- a/crates/policy/tests/size.rs
+++ b/crates/policy/tests/size.rs
@@ -233,6 +233,23 @@
     assert!(site.named(999).iter().any(|server| server.0 >= 500), "newcomers are named");
 }
 
+/// Danger: each step of a level reaches all proxies, and a channel that has slowed to a sixth fills with them.
+#[test]
+fn levels_that_swing_stay_within_the_backlog_of_a_slow_channel() {
+    let mut site = Site::started(Settings { messages_most: 1000, ..sparse() }, 0.5, 200, 1000);
+    site.run(20, &healthy(200, &[]), &all_answer);
+    site.pace = 0.15 * site.settings.lines_per_s;
+    let before = site.levels.values().sum::<usize>();
+    for second in 0..40 {
+        let queue = Some(f64::from(second % 5));
+        let load = Load { queue, latency_ms: Some(20.0), ..Load::default() };
+        let tallies = healthy(200, &[]).into_iter().map(|tally| reporting(tally, load));
+        site.run(1, &tallies.collect::<Vec<_>>(), &all_answer);
+    }
+    assert!(site.most_waiting > 0.4 * site.settings.backlog, "the channel was put to the test");
+    assert!(site.levels.values().sum::<usize>() > before, "levels moved");
+}
+
 #[test]
 fn the_busiest_proxies_are_bound_first() {
     let site = Site::started(sparse(), 0.5, 500, 1000);
