--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -937,7 +937,7 @@
             let tables = self.schemes.iter().filter(|scheme| scheme.serves(proxy.zone, part));
             let cost = tables.clone().filter_map(|scheme| self.tables.get(&scheme.table));
             let cost = cost.map(|table| size(table, proxy.brought && !proxy.bound) as f64).sum::<f64>();
-            let waits = orders.waiting + orders.cost([&*id], cost);
+            let waits = orders.waiting + orders.cost([id], cost);
             if orders.waiting > 0.0 && waits > BACKLOG.1 * self.settings.backlog {
                 break;
             }
