One account of the channel, asked by every kind of order, with precedence and a measured pace

Ordinary lines, levels and joins asked what waits; withdrawals, servers let back and slices' tables did not, and three sums counted heads in three ways.

Uncounted, and of no use before a line names it. - unbound proxies: each was told of every drain at once and again by its first tables; sixty drains during a join of a thousand proxies are more lines than the backlog. - lines that name a server anew for a proxy that brought withdrawals, and tables of one that moves: an `undrop` uncounted. - silence taken for an empty channel after 3 s: a message larger than that at the least pace is now waited for. - a stream that this side ends, its peer alive: what waits for it stays counted (new: Report::Ended, Event::Ended). - receipts lost or late: keep lines counted too long, never too short. - the limit on messages: one full proxy held back the orders of all; it holds back its own alone now.

Change: `fits` is the one question, with a fill for each kind (shares of the backlog, of the message limit, and how far ahead of the drains' grace what waits may lie): drains, guards, joins, levels, ordinary lines. Levels and ordinary lines go by the pace that confirmations show while something is late, so that news is not queued behind news. Drains may wait for room and then do; nothing that can't be divided waits for ever.

Test: crates/supervisor/src/short_queue.rs drives engine and module with random settings and storms, encodes the orders as they are written and keeps the channel's account from the text. On the program as it stood it fails (35 lines where 32 may wait; 214.5 where 214 may); it holds now, with drains within the grace and nobody bare where the channel can carry it.

--- a/crates/adapter/src/other.rs
+++ b/crates/adapter/src/other.rs
@@ -87,7 +87,7 @@
             let new = u8::from(!brought);
             format!("joined\tclientLb={}\tlocality={}\tweight={rate}\tactive={new}\n", proxy.0, zone.0)
         }
-        Event::Left(proxy) => format!("lost_stream\tclientLb={}\n", proxy.0),
+        Event::Left(proxy) | Event::Ended(proxy) => format!("lost_stream\tclientLb={}\n", proxy.0),
         Event::Heard { zone, server, tries, failed, mean_ms, period, load: of } => format!(
             "tally\tlocality={}\tserver={}\ttotal={tries}\tbad={failed}\tcostTimeMs={mean_ms}\tperiodLenMs={}{}\n",
             zone.0,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -35,6 +35,8 @@
     },
     /// A stream ended.
     Left(StreamId),
+    /// This supervisor ended a stream, though its peer may live.
+    Ended(StreamId),
     /// What the proxies of a zone met at a server.
     Outcomes {
         /** Zone of the proxies. */
@@ -302,6 +304,7 @@
                 Event::Joined { proxy: id, zone, rate, brought: !new }
             }
             Report::Left(stream) => Event::Left(self.streams.leave(stream).ok_or(Unknown::Stream)?),
+            Report::Ended(stream) => Event::Ended(self.streams.leave(stream).ok_or(Unknown::Stream)?),
             Report::Outcomes { zone, server, tries, failed, mean_ms, period, load } => {
                 let id = self.names.server(&server);
                 let (at, id) = (self.zone(&zone)?, id.ok_or_else(|| Unknown::Server(server.clone()))?);
--- a/crates/engine/src/engine/tests.rs
+++ b/crates/engine/src/engine/tests.rs
@@ -370,7 +370,9 @@
     all: BTreeMap<usize, Level>,
     withdrawn: BTreeSet<String>,
     bound: BTreeMap<(u32, usize), TableId>,
-    /// Servers shut out while a joined proxy still used tables that nobody here knows.
+    /// Servers shut out while a joined proxy that has tables of ours still used others that nobody here knows. One that has
+    /// none yet is told with its first ones: told at once, a whole fleet that joins while a release drains would fill the
+    /// channel with what the tables on their way put right.
     unseen: BTreeMap<u32, BTreeSet<String>>,
 }
 
@@ -396,8 +398,9 @@
                     shut.remove(&name);
                 });
                 if *out {
-                    let strange =
-                        |proxy: &&u32| (0..CLASSES).any(|c| !self.bound.contains_key(&(**proxy, c)));
+                    let bound =
+                        |proxy: u32| (0..CLASSES).filter(|c| self.bound.contains_key(&(proxy, *c))).count();
+                    let strange = |proxy: &&u32| (1..CLASSES).contains(&bound(**proxy));
                     for proxy in joined.keys().filter(strange) {
                         self.unseen.entry(*proxy).or_default().insert(name.clone());
                     }
--- a/crates/engine/src/streams.rs
+++ b/crates/engine/src/streams.rs
@@ -73,14 +73,11 @@
         }
     }
 
-    /// A server is shut out or let back: of no concern to a proxy whose tables are all known not to name it. Whether it is.
+    /// A server is shut out or let back: of no concern to a proxy whose tables do not name it, nor to one that has none of
+    /// ours yet. Whether it is. What its tables name later they put right with the line itself.
     fn withdraw(&mut self, server: ServerId, out: bool, all: &Tables) -> bool {
         let named = |table: &TableId| all.get(*table).is_some_and(|t| t.lines.contains_key(&server));
-        let concerned = if out {
-            self.unbound(all) || self.tables.values().any(named)
-        } else {
-            self.told.contains_key(&server)
-        };
+        let concerned = self.tables.values().any(named) || (out && self.bound_in_part(all));
         if concerned {
             self.told.insert(server, out);
             self.draft.withdraw(server, out);
@@ -88,8 +85,8 @@
         concerned
     }
 
-    fn unbound(&self, all: &Tables) -> bool {
-        self.tables.len() < all.classes()
+    fn bound_in_part(&self, all: &Tables) -> bool {
+        !self.tables.is_empty() && self.tables.len() < all.classes()
     }
 }
 
@@ -157,7 +154,7 @@
             }
             Action::Clear(table) => self.users(*table, |joined| joined.clear(*table, all)),
             Action::Bind { proxy, table, classes } => {
-                self.bind(*proxy, *table, &all.positions(*classes), all)
+                self.bind(*proxy, *table, &all.positions(*classes), all);
             }
             Action::Withdraw { server, out } => return self.withdraw(*server, *out, all),
             Action::Admit { table, classes, .. } => {
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -346,8 +346,10 @@
         /** It may hold another instance's withdrawals, which its first table puts right at a line a server. */
         brought: bool,
     },
-    /// A proxy's stream broke; it goes on with what it holds.
+    /// A proxy's stream broke; it goes on with what it holds. What waited for it is lost.
     Left(ProxyId),
+    /// This instance ended a proxy's stream, though the proxy may live: what waited for it may wait in the channel still.
+    Ended(ProxyId),
     /// What the joined proxies of a zone met at a server.
     Heard {
         /** Zone of the proxies. */
@@ -510,7 +512,8 @@
         /** The classes. */
         classes: ClassSet,
     },
-    /// Shuts a server out of all tables of joined proxies, or lets it in again.
+    /// Shuts a server out of all tables of joined proxies, or lets it in again. A proxy that has none of this instance's
+    /// tables yet may learn of it with the first.
     Withdraw {
         /** The server. */
         server: ServerId,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -92,17 +92,24 @@
 const NARROW_FROM: (f64, Micros) = (0.3, Micros(30_000_000));
 /// To so many proxies, and at least so many servers, each.
 const NARROW_TO: (f64, f64) = (2.0, 5.0);
-/// Share of the backlog that ordinary updates and levels, and guards and joins, may fill: a zone may drain at
-/// once. Danger: a level reaches all proxies, and a slow channel fills with one each tick.
-const BACKLOG: (f64, f64) = (0.5, 0.65);
-/// Share of the message limit that ordinary updates, and guards and levels, may use; the rest is for drains.
-const MESSAGES: (f64, f64) = (0.6, 0.8);
+/// What each kind of order may fill, in the order in which they go first: shares of the backlog, of the message
+/// limit, and, by what the channel sends within it, of the drains' grace beyond the way. Danger: what is written
+/// leaves in order, and a drain behind a long queue, or news behind a slow one, comes too late.
+const DRAINS: Fill = (0.9, 1.0, f64::INFINITY);
+const GUARDS: Fill = (0.8, 0.8, 0.5);
+const JOINS: Fill = (0.65, 0.8, 0.5);
+const LEVELS: Fill = (0.5, 0.8, 0.4);
+const ORDINARY: Fill = (0.5, 0.6, 0.25);
 /// Least time between ordinary updates, and before a failed subscription is tried again.
 const UPDATE_EVERY: Micros = Micros(1_000_000);
 /// Share of the channel that the heads of ordinary updates may take.
 const HEADS_SHARE: f64 = 0.2;
 /// Beyond the longest way there and back, no confirmation for so long means an empty channel.
 const CHANNEL_SILENT: Micros = Micros(3_000_000);
+/// The channel's pace: its least share of the stated one, and its growth a tick while nothing is late.
+const PACE: (f64, f64) = (0.05, 1.25);
+/// What a setting that names no limit counts as.
+const NO_LIMIT: f64 = 1e12;
 
 /// Least time between two changes of advice, and the longest that any stands without being said again.
 const ADVICE: (Micros, Micros) = (Micros(5_000_000), Micros(15_000_000));
@@ -206,10 +213,14 @@
 
 impl Policy {
     /// An instance that knows its settings and nothing else.
-    pub fn new(settings: Settings, seed: u64) -> Self {
+    pub fn new(mut settings: Settings, seed: u64) -> Self {
+        for limit in [&mut settings.backlog, &mut settings.lines_per_s].into_iter().filter(|l| **l <= 0.0) {
+            *limit = NO_LIMIT;
+        }
+        let channel = Channel { pace: settings.lines_per_s, ..Channel::default() };
         let came = vec![Fading::default(); settings.classes.len()];
         let admission = Admission { came, ..Admission::default() };
-        Policy { settings, seed, admission, ..Policy::default() }
+        Policy { settings, seed, channel, admission, ..Policy::default() }
     }
 
     /// Takes in what happened by `now` and returns the orders to give.
@@ -232,8 +243,8 @@
         }
         // Probe answers and tallies wait for the tick. Danger: work for each makes a large fleet late.
         let news = |e: &Event| matches!(e, Event::Members(..) | Event::Joined { .. } | Event::Tenure { .. });
-        let freed =
-            |e: &Event| self.settings.sole_owner && matches!(e, Event::Receipt { .. } | Event::Left(_));
+        let frees = |e: &Event| matches!(e, Event::Receipt { .. } | Event::Left(_) | Event::Ended(_));
+        let freed = |e: &Event| self.settings.sole_owner && frees(e);
         if ticks || events.iter().any(|event| news(event) || freed(event)) {
             self.probe(now, &mut out);
             self.publish(now, &mut out);
@@ -266,9 +277,11 @@
                 let joined = Proxy { zone: *zone, brought: *brought, came, ..Proxy::default() };
                 self.proxies.insert(*proxy, joined);
             }
-            Event::Left(proxy) => {
+            Event::Left(proxy) | Event::Ended(proxy) => {
                 self.proxies.remove(proxy);
-                self.channel.lost(*proxy);
+                if *event == Event::Left(*proxy) {
+                    self.channel.lost(*proxy);
+                }
                 let waiting = self.slices.values_mut().flatten();
                 for handover in waiting.filter(|handover| handover.waits_for.contains(proxy)) {
                     handover.waits_for.remove(proxy);
@@ -374,9 +387,10 @@
             self.limits = Limits::default();
         }
         out.extend(self.subscribe_at.take_if(|at| *at <= now).map(|_| Action::Subscribe(true)));
-        self.further = self.way();
+        self.further = way(self.open().map(|(_, server)| server), self.settings.zone);
+        self.pace(now, elapsed);
         // Failed probes blame no server while few are answered: the own process or the way there may fail.
-        let mute = self.mute();
+        let mute = mute(self.open().map(|(_, server)| server));
         // Danger: a zone cut off from here would pass for a jam, and all would be refused for it.
         let answers = mute.values().any(|share| *share <= 1.0 - PROBES_ANSWERED.0);
         let most = |zone| 1.0 - if self.cut.contains(zone) { PROBES_ANSWERED.0 } else { PROBES_ANSWERED.1 };
@@ -468,15 +482,6 @@
         (0..self.settings.zones.max(1) as u16).map(ZoneId)
     }
 
-    /// By zone, the share of its servers that answer no probe.
-    fn mute(&self) -> Zones {
-        let mut zones = BTreeMap::<ZoneId, Fading>::new();
-        for (_, server) in self.open() {
-            zones.entry(server.entry.zone).or_default().add(f64::from(server.probing.failing.min(1)), 1.0);
-        }
-        zones.into_iter().map(|(zone, silent)| (zone, silent.sum / silent.weight)).collect()
-    }
-
     /// Danger: while nobody has work for the servers, what probes take passes for a usual speed that is none.
     fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
         let wanted = self.settings.probes && !self.proxies.is_empty();
@@ -491,18 +496,6 @@
 
     // ---- Weights ----
 
-    /// The further way of a probe to another zone, in seconds: how much longer the quickest take.
-    fn way(&self) -> f64 {
-        let home = |s: &Server| s.entry.zone == self.settings.zone;
-        let timed = self.open().map(|(_, s)| s).filter(|s| s.quickest > 0.0);
-        let kinds: BTreeSet<u32> = timed.clone().map(|s| s.entry.kind).collect();
-        let times = |kind| timed.clone().filter(move |s| home(s) && s.entry.kind == kind).map(|s| s.quickest);
-        let near: BTreeMap<_, _> = kinds.into_iter().map(|kind| (kind, quantile(times(kind), 0.5))).collect();
-        let further = timed.clone().filter(|s| !home(s));
-        let further = further.filter_map(|far| Some(far.quickest - (*near.get(&far.entry.kind)?)?));
-        quantile(further, 0.5).unwrap_or(0.0).max(0.0)
-    }
-
     /// How fast each server is for its listed weight, against the fleet's, or, where listed weights are
     /// registered capacities, which hold the kind's speed, against its kind's; 1 where nothing tells.
     fn speeds(&self) -> Lines {
@@ -711,13 +704,12 @@
 
     fn publish(&mut self, now: Micros, out: &mut Vec<Action>) {
         // Short queue: what is not confirmed waits, however slow the channel; after long silence none does.
-        self.channel.forget(now - self.settings.way_most - self.settings.way_most - CHANNEL_SILENT);
+        let (way, least) = (self.settings.way_most, PACE.0 * self.settings.lines_per_s);
+        let largest = Micros::from_ms(1000.0 * self.channel.largest() / least);
+        self.channel.forget(now - way - way - CHANNEL_SILENT - largest);
         let past = now - self.settings.messages_window;
         self.proxies.values_mut().for_each(|proxy| proxy.written.retain(|at| *at >= past));
         let mut orders = Orders::new(self.channel.waiting(), self.settings.message_head + 1.0);
-        if self.messages_used(self.proxies.keys()) > 1.0 {
-            return;
-        }
         self.shut_the_leaving(&mut orders);
         self.weigh(now);
         if self.settings.slices > 0 {
@@ -738,6 +730,28 @@
         out.append(&mut orders.actions);
     }
 
+    /// How fast the channel sends now: only while something is late do confirmations tell, else it has room.
+    fn pace(&mut self, now: Micros, elapsed: f64) {
+        let gone = std::mem::take(&mut self.channel.gone) / elapsed.max(1e-3);
+        let late = self.channel.is_late(now - self.settings.way_most - self.settings.way_most - TICK);
+        let (stated, pace) = (self.settings.lines_per_s, self.channel.pace);
+        let seen = if gone > 0.0 { smooth(pace, gone) } else { pace };
+        self.channel.pace = if late { seen } else { pace * PACE.1 }.clamp(PACE.0 * stated, stated);
+    }
+
+    /// The one account of the channel, which every order asks: whether so many lines for each of these fit what
+    /// their kind may fill, with all that waits. Drains, guards and joins go when nothing waits, however large.
+    fn fits(&self, orders: &Orders, to: &[ProxyId], lines: f64, kind: Fill) -> bool {
+        let urgent = kind.0 > LEVELS.0;
+        let pace = if urgent { self.settings.lines_per_s } else { self.channel.pace };
+        let grace = self.settings.drain_grace.secs().max(1e-3);
+        let ahead = pace * (self.settings.way_most.secs() + kind.2 * grace);
+        let waits = orders.waiting + orders.cost(to, lines);
+        let room = waits <= kind.0 * self.settings.backlog && orders.waiting <= ahead;
+        let room = room || (urgent && orders.waiting <= 0.0);
+        to.is_empty() || (room && self.messages_used(to.iter()) <= kind.1)
+    }
+
     /// Deals the fleet into parts, each with its own tables, where naming all would leave a usual proxy
     /// without open connections to most. Danger: each request pays for a connection, each change for a line
     /// at every proxy. Far narrower parts while tries fail though servers idle.
@@ -782,21 +796,24 @@
         if self.parts > 0 && self.proxies.values().all(|proxy| proxy.bound) {
             self.tables.retain(|table, _| self.schemes.iter().any(|scheme| scheme.table == *table));
         }
-        for (id, server) in &mut self.servers {
-            let (zone, life) = (server.entry.zone, server.entry.life);
+        for server in self.servers.values_mut() {
+            let Entry { server: id, zone, life, .. } = server.entry;
             if std::mem::replace(&mut server.told, life) != life {
-                orders.actions.push(Action::Note(Note::Life { server: *id, zone, life }));
+                orders.actions.push(Action::Note(Note::Life { server: id, zone, life }));
             }
-            let leaves = life != Lifecycle::InService;
-            let names = |table: &&TableId| self.tables.get(table).is_some_and(|t| t.lines.contains_key(id));
-            if server.shut == leaves || (!leaves && self.tables.keys().any(|table| names(&table))) {
-                continue;
+        }
+        let leaves = |server: &Server| server.entry.life != Lifecycle::InService;
+        let turned = self.servers.iter().filter(|(_, server)| server.shut != leaves(server));
+        for (id, out) in turned.map(|(id, server)| (*id, leaves(server))).collect::<Vec<_>>() {
+            let names = |table: &TableId| self.tables.get(table).is_some_and(|t| t.lines.contains_key(&id));
+            let holders = self.proxies.iter().filter(|(_, proxy)| proxy.tables.iter().any(names));
+            let holders: Vec<ProxyId> = holders.map(|(id, _)| *id).collect();
+            let fits =
+                if out { self.fits(orders, &holders, 1.0, DRAINS) } else { !self.tables.keys().any(names) };
+            if fits {
+                self.servers.entry(id).and_modify(|server| server.shut = out);
+                orders.give(Action::Withdraw { server: id, out }, holders);
             }
-            server.shut = leaves;
-            let named: BTreeSet<TableId> = self.tables.keys().filter(names).copied().collect();
-            let holds = |p: &Proxy| p.tables.is_empty() || p.tables.iter().any(|table| named.contains(table));
-            let holders = self.proxies.iter().filter(|(_, proxy)| holds(proxy)).map(|(id, _)| *id);
-            orders.give(Action::Withdraw { server: *id, out: leaves }, holders);
         }
     }
 
@@ -822,7 +839,6 @@
             let serves = |p: &Proxy| p.bound && scheme.serves(p.zone, p.part);
             let users = self.proxies.iter().filter(|(_, proxy)| serves(proxy));
             let users: Vec<ProxyId> = users.map(|(id, _)| *id).collect();
-            let used = self.messages_used(users.iter());
             let (target, void) = self.target(scheme, lean, cold);
             let rates = users.iter().filter_map(|id| Some(self.proxies.get(id)?.rate()));
             let rate = rates.sum::<f64>() / users.len().max(1) as f64;
@@ -833,32 +849,29 @@
             }
             let levels = if scheme.part == self.parts { &levels.1 } else { &levels.0 };
             for (k, &(level, retry)) in levels.iter().enumerate().filter(|(k, _)| scheme.classes.has(*k)) {
-                let fits =
-                    |share: f64| orders.waiting + orders.cost(&users, 1.0) <= share * self.settings.backlog;
-                let fits = users.is_empty() || (used <= MESSAGES.1 && fits(BACKLOG.0));
-                if known.levels.get(&k) != Some(&(level, retry)) && fits {
+                let known = self.tables.get(&scheme.table).and_then(|table| table.levels.get(&k));
+                if known != Some(&(level, retry)) && self.fits(orders, &users, 1.0, LEVELS) {
+                    let known = self.tables.entry(scheme.table).or_default();
                     known.levels.insert(k, (level, retry));
                     let (table, classes) = (Some(scheme.table), ClassSet::default().with(k));
                     let order = Action::Admit { table, classes, level, retry };
                     orders.give(order, users.iter().copied());
                 }
             }
-            tables.insert(scheme.table, (users, used));
+            tables.insert(scheme.table, users);
         }
         changes.sort_by(|a, b| b.guard.cmp(&a.guard).then(b.size.total_cmp(&a.size)));
         // Messages have heads: all proxies' may take no more than a part of the channel.
         let heads = self.proxies.len() as f64 * (self.settings.message_head + 1.0);
-        let every = UPDATE_EVERY.secs().max(heads / HEADS_SHARE / self.settings.lines_per_s.max(1.0));
+        let every = UPDATE_EVERY.secs().max(heads / HEADS_SHARE / self.channel.pace);
         let due = self.updated.is_none_or(|at| (now - at).secs() >= every);
-        for Change { scheme: Scheme { table, .. }, server, weight, guard, .. } in changes {
-            let Some((users, used)) = tables.get(&table) else { continue };
+        for Change { scheme: Scheme { table, .. }, server, weight, guard, anew, .. } in changes {
+            let Some(users) = tables.get(&table) else { continue };
             if !users.is_empty() {
                 // What rides on a message already due costs none: else refusals and guards use up the limit.
                 let rides = users.iter().all(|user| orders.lines.contains_key(user));
-                let cost = orders.cost(users, 1.0);
-                let fits = |share: f64| orders.waiting + cost <= share * self.settings.backlog;
-                let ordinary = ((due && *used <= MESSAGES.0) || rides) && fits(BACKLOG.0);
-                if !(ordinary || (guard && *used <= MESSAGES.1 && fits(BACKLOG.1))) {
+                let ordinary = (due || rides) && self.fits(orders, users, anew, ORDINARY);
+                if !(ordinary || (guard && self.fits(orders, users, anew, GUARDS))) {
                     continue;
                 }
                 self.updated = if guard || rides { self.updated } else { Some(now) };
@@ -866,6 +879,7 @@
             let known = self.tables.entry(table).or_default();
             known.lines.insert(server, weight);
             known.lines.retain(|_, weight| *weight > 0.0);
+            users.iter().for_each(|user| orders.add(*user, anew - 1.0));
             orders.give(Action::Line { table, server, weight }, users.iter().copied());
         }
     }
@@ -893,7 +907,9 @@
                 let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size) * scale;
                 let moved = (weight - old).abs().max(whole);
                 let size = if known.is_some_and(Server::open) { rate * moved / (total * scale) } else { 0.0 };
-                changes.push(Change { scheme, server, weight, guard, size });
+                // One that is named anew may have to be let back. Danger: uncounted lines.
+                let anew = if old <= 0.0 { 2.0 } else { 1.0 };
+                changes.push(Change { scheme, server, weight, guard, size, anew });
             }
         }
     }
@@ -914,13 +930,16 @@
         let brings = shares(self.proxies.values().map(|proxy| (set(proxy.zone), proxy.rate())));
         let all = self.proxies.values().map(Proxy::rate).sum::<f64>();
         let shut = |id: &&ServerId| self.servers.get(id).is_some_and(|server| server.shut);
-        // One that brings withdrawals is told of each server whether it is shut out. Danger: uncounted lines.
+        // One that holds withdrawals is told of each server whether it is shut out. Danger: uncounted lines.
         let told = |t: &Table, all: bool| t.lines.keys().filter(|id| all || shut(id)).count();
         let size = |t: &Table, all: bool| 1 + t.lines.len() + t.levels.len() + told(t, all);
-        let mut proxies: Vec<_> = self.proxies.iter_mut().collect();
-        proxies.sort_by(|a, b| a.1.bound.cmp(&b.1.bound).then(b.1.rate().total_cmp(&a.1.rate())));
-        for (id, proxy) in proxies.into_iter().filter(|_| self.parts > 0) {
-            let (zone, rate) = (set(proxy.zone), proxy.rate());
+        let rates = self.proxies.iter().filter(|_| self.parts > 0);
+        let bare = |proxy: &Proxy| (!proxy.tables.is_empty(), proxy.bound);
+        let mut proxies: Vec<_> = rates.map(|(id, proxy)| (*id, bare(proxy), proxy.rate())).collect();
+        proxies.sort_by(|a, b| a.1.cmp(&b.1).then(b.2.total_cmp(&a.2)));
+        for (id, (holds, bound), rate) in proxies {
+            let Some(proxy) = self.proxies.get(&id) else { continue };
+            let zone = set(proxy.zone);
             let loaded = |(weight, comes): &(f64, f64), more: f64| (comes + more) / weight.max(1e-6);
             let parts = room.range((zone, 0)..=(zone, usize::MAX));
             let freest = parts.min_by(|a, b| loaded(a.1, rate).total_cmp(&loaded(b.1, rate)));
@@ -931,23 +950,22 @@
             let heavy = split && rate * self.parts as f64 > most * all;
             let (part, freest) = if heavy { (self.parts, 0.0) } else { part };
             let own = room.entry((zone, proxy.part)).or_default();
-            if proxy.bound && (part == proxy.part || loaded(own, 0.0) < REDEAL * freest) {
+            if bound && (part == proxy.part || loaded(own, 0.0) < REDEAL * freest) {
                 continue;
             }
             let tables = self.schemes.iter().filter(|scheme| scheme.serves(proxy.zone, part));
             let cost = tables.clone().filter_map(|scheme| self.tables.get(&scheme.table));
-            let cost = cost.map(|table| size(table, proxy.brought && !proxy.bound) as f64).sum::<f64>();
-            let waits = orders.waiting + orders.cost([id], cost);
-            if orders.waiting > 0.0 && waits > BACKLOG.1 * self.settings.backlog {
+            let cost = cost.map(|table| size(table, proxy.brought || holds) as f64).sum::<f64>();
+            if !self.fits(orders, &[id], cost, if holds { ORDINARY } else { JOINS }) {
                 break;
             }
-            own.1 -= if proxy.bound { rate } else { 0.0 };
+            own.1 -= if bound { rate } else { 0.0 };
             room.entry((zone, part)).or_default().1 += rate;
-            (proxy.part, proxy.bound) = (part, true);
-            proxy.tables = tables.clone().map(|scheme| scheme.table).collect();
-            orders.add(*id, cost);
-            let bind = |s: &Scheme| Action::Bind { proxy: *id, table: s.table, classes: s.classes };
-            orders.actions.extend(tables.map(bind));
+            orders.add(id, cost);
+            let bind = |s: &Scheme| Action::Bind { proxy: id, table: s.table, classes: s.classes };
+            orders.actions.extend(tables.clone().map(bind));
+            let tables = tables.map(|scheme| scheme.table).collect();
+            self.proxies.entry(id).and_modify(|p| (p.part, p.bound, p.tables) = (part, true, tables));
         }
     }
 
@@ -956,11 +974,14 @@
         let usable = self.target(Scheme::default(), &Zones::new(), self.cold_demand()).0;
         let mark = self.channel.next_mark();
         let proxies: BTreeSet<ProxyId> = self.proxies.keys().copied().collect();
-        for (id, slice) in &mut self.slices {
-            let table = self.tables.entry(*id).or_default();
+        let every: Vec<ProxyId> = proxies.iter().copied().collect();
+        for id in self.slices.keys().copied().collect::<Vec<_>>() {
+            let fits = self.fits(orders, &every, 2.0, DRAINS);
+            let Some(slice) = self.slices.get_mut(&id).filter(|_| fits) else { continue };
+            let table = self.tables.entry(id).or_default();
             let gone = |server: &ServerId| usable.get(server).is_none_or(|weight| *weight <= 0.0);
             let ending: Vec<ServerId> = table.lines.keys().copied().filter(gone).collect();
-            let Some(next) = rendezvous(*id, &usable) else { continue };
+            let Some(next) = rendezvous(id, &usable) else { continue };
             if ending.is_empty() && !table.lines.is_empty() {
                 continue;
             }
@@ -968,7 +989,7 @@
                 // No effect twice: nobody owns the slice until no proxy can write to the former owner.
                 let not_before = now + self.settings.lease;
                 let handover = slice.get_or_insert_with(|| {
-                    orders.give(Action::Clear(*id), proxies.iter().copied());
+                    orders.give(Action::Clear(id), proxies.iter().copied());
                     Handover { waits_for: proxies.clone(), mark, not_before }
                 });
                 table.lines.clear();
@@ -978,10 +999,10 @@
                 *slice = None;
             }
             table.lines.insert(next, 1.0);
-            orders.give(Action::Line { table: *id, server: next, weight: 1.0 }, proxies.iter().copied());
+            orders.give(Action::Line { table: id, server: next, weight: 1.0 }, proxies.iter().copied());
             for server in ending.into_iter().filter(|_| !self.settings.sole_owner) {
                 table.lines.remove(&server);
-                orders.give(Action::Line { table: *id, server, weight: 0.0 }, proxies.iter().copied());
+                orders.give(Action::Line { table: id, server, weight: 0.0 }, proxies.iter().copied());
             }
         }
     }
@@ -992,27 +1013,6 @@
     settings.cross_price > 0.0 && settings.instances == 1
 }
 
-/// The tables without slices: for each part of the fleet and zone, one more where classes stay at home, and
-/// one for each class that is steered apart.
-fn schemes(settings: &Settings, parts: usize, first: u16, apart: ClassSet) -> Vec<Scheme> {
-    let mut groups: Vec<(bool, ClassSet)> = Vec::new();
-    for home_only in [false, true] {
-        let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
-        let (own, together): (Vec<usize>, Vec<usize>) = classes.map(|(k, _)| k).partition(|k| apart.has(*k));
-        groups.push((home_only, together.into_iter().fold(ClassSet::default(), ClassSet::with)));
-        groups.extend(own.into_iter().map(|k| (home_only, ClassSet::default().with(k))));
-    }
-    groups.retain(|(_, classes)| *classes != ClassSet::default());
-    let tables =
-        (0..settings.zones.max(1) as u16).flat_map(|z| groups.iter().map(move |group| (ZoneId(z), group)));
-    let tables = tables
-        .flat_map(|(zone, group)| (0..parts + usize::from(parts > 1)).map(move |part| (zone, *group, part)));
-    let tables = (first..u16::MAX).map(TableId).zip(tables);
-    let scheme =
-        |(table, (zone, (home_only, classes), part))| Scheme { table, zone, home_only, part, classes, apart };
-    tables.map(scheme).collect()
-}
-
 /// What proxies met at a server: the share of failed tries beyond the usual, less its standard error, and the
 /// time of good answers against the usual. A saturated server's failures count less: the next would fill.
 fn met(server: &Server, zones: &References) -> (f64, f64) {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -198,12 +198,14 @@
 }
 
 /// What was written to the channel and not confirmed yet: in the order written, a turn's mark and lines by
-/// proxy.
+/// proxy. And what was confirmed since it was last asked, and at what pace it goes, in lines a second.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Channel {
     pub turns: VecDeque<(Micros, u16, BTreeMap<ProxyId, f64>)>,
     pub mark: u16,
     pub confirmed: Micros,
+    pub gone: f64,
+    pub pace: f64,
 }
 
 impl Channel {
@@ -221,10 +223,9 @@
             |(_, sent, lines): &(_, u16, BTreeMap<ProxyId, f64>)| *sent == mark && lines.contains_key(&proxy);
         if let Some(turn) = self.turns.iter().position(written) {
             self.confirmed = now;
-            self.turns.drain(..turn);
-            if let Some((_, _, lines)) = self.turns.front_mut() {
-                lines.remove(&proxy);
-            }
+            self.gone += self.turns.drain(..turn).flat_map(|(_, _, lines)| lines.into_values()).sum::<f64>();
+            let first = self.turns.front_mut().and_then(|(_, _, lines)| lines.remove(&proxy));
+            self.gone += first.unwrap_or(0.0);
         }
     }
     /// What waits for a proxy whose stream broke is lost.
@@ -239,6 +240,14 @@
     pub fn waiting(&self) -> f64 {
         self.turns.iter().flat_map(|(_, _, lines)| lines.values()).sum()
     }
+    /// The lines of the largest message that waits.
+    pub fn largest(&self) -> f64 {
+        self.turns.iter().flat_map(|(_, _, lines)| lines.values()).copied().fold(0.0, f64::max)
+    }
+    /// Whether anything written before then still waits.
+    pub fn is_late(&self, before: Micros) -> bool {
+        self.turns.iter().any(|(at, _, lines)| *at < before && !lines.is_empty())
+    }
 }
 
 /// A change to a table's line that waits to be sent.
@@ -249,8 +258,13 @@
     pub weight: f64,
     pub guard: bool,
     pub size: f64,
+    /// What it costs at each proxy, in lines.
+    pub anew: f64,
 }
 
+/// What a kind of order may fill: shares of the backlog, of the message limit, of the drains' grace.
+pub(crate) type Fill = (f64, f64, f64);
+
 /// The orders of one turn, what the message to each proxy costs, and all that waits in the channel with them.
 #[derive(Debug, Default)]
 pub(crate) struct Orders {
@@ -328,6 +342,48 @@
     zones
 }
 
+/// The further way of a probe from this zone to others, in seconds: how much longer the quickest take.
+pub(crate) fn way<'a>(open: impl Iterator<Item = &'a Server> + Clone, zone: ZoneId) -> f64 {
+    let home = |s: &Server| s.entry.zone == zone;
+    let timed = open.filter(|s| s.quickest > 0.0);
+    let kinds: BTreeSet<u32> = timed.clone().map(|s| s.entry.kind).collect();
+    let times = |kind| timed.clone().filter(move |s| home(s) && s.entry.kind == kind).map(|s| s.quickest);
+    let near: BTreeMap<_, _> = kinds.into_iter().map(|kind| (kind, quantile(times(kind), 0.5))).collect();
+    let further = timed.clone().filter(|s| !home(s));
+    let further = further.filter_map(|far| Some(far.quickest - (*near.get(&far.entry.kind)?)?));
+    quantile(further, 0.5).unwrap_or(0.0).max(0.0)
+}
+
+/// By zone, the share of its servers that answer no probe.
+pub(crate) fn mute<'a>(open: impl Iterator<Item = &'a Server>) -> Zones {
+    let mut zones = BTreeMap::<ZoneId, Fading>::new();
+    for server in open {
+        zones.entry(server.entry.zone).or_default().add(f64::from(server.probing.failing.min(1)), 1.0);
+    }
+    zones.into_iter().map(|(zone, silent)| (zone, silent.sum / silent.weight)).collect()
+}
+
+/// The tables without slices: for each part of the fleet and zone, one more where classes stay at home, and
+/// one for each class that is steered apart.
+pub(crate) fn schemes(settings: &Settings, parts: usize, first: u16, apart: ClassSet) -> Vec<Scheme> {
+    let mut groups: Vec<(bool, ClassSet)> = Vec::new();
+    for home_only in [false, true] {
+        let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
+        let (own, together): (Vec<usize>, Vec<usize>) = classes.map(|(k, _)| k).partition(|k| apart.has(*k));
+        groups.push((home_only, together.into_iter().fold(ClassSet::default(), ClassSet::with)));
+        groups.extend(own.into_iter().map(|k| (home_only, ClassSet::default().with(k))));
+    }
+    groups.retain(|(_, classes)| *classes != ClassSet::default());
+    let tables =
+        (0..settings.zones.max(1) as u16).flat_map(|z| groups.iter().map(move |group| (ZoneId(z), group)));
+    let tables = tables
+        .flat_map(|(zone, group)| (0..parts + usize::from(parts > 1)).map(move |part| (zone, *group, part)));
+    let tables = (first..u16::MAX).map(TableId).zip(tables);
+    let scheme =
+        |(table, (zone, (home_only, classes), part))| Scheme { table, zone, home_only, part, classes, apart };
+    tables.map(scheme).collect()
+}
+
 /// How far a value lies on the way from none to full.
 pub(crate) fn full(value: f64, (from, to): (f64, f64)) -> f64 {
     clamp01((value - from) / (to - from))
--- a/crates/supervisor/src/clients.rs
+++ b/crates/supervisor/src/clients.rs
@@ -64,7 +64,8 @@
     hub.close_stream(stream);
     note_end(hub, (id, zone), begun, &end, silence);
     // A stream whose place a newer one has taken has left already: its late end changes nothing.
-    let _ = hub.try_report(Report::Left(stream));
+    let ours = matches!(&end, Err(end) if end.reason.is_ours());
+    let _ = hub.try_report(if ours { Report::Ended(stream) } else { Report::Left(stream) });
     end
 }
 
--- a/crates/supervisor/src/ending.rs
+++ b/crates/supervisor/src/ending.rs
@@ -59,6 +59,11 @@
         Ending::Stopping,
     ];
 
+    /// Whether this side ended the connection, though the peer may live.
+    pub fn is_ours(self) -> bool {
+        matches!(self, Ending::Silent | Ending::Unreadable | Ending::TooLong)
+    }
+
     /// The code that log lines carry.
     pub fn code(self) -> &'static str {
         match self {
--- a/crates/supervisor/src/main.rs
+++ b/crates/supervisor/src/main.rs
@@ -18,6 +18,8 @@
 mod recording;
 mod serve;
 mod servers;
+#[cfg(test)]
+mod short_queue;
 mod tools;
 mod wire;
 
