Servers that are long gone are forgotten; the channel's pace by the time that receipts took

Cause: measured the pace while anything older than the way there and back was unconfirmed. Proxies that fell silent leave such lines for good, and then the pace was that of the few lines being sent, down to the floor, and ordinary updates stopped. At fault: policy.rs, pace (`is_late`). Change: only while the quickest receipt of a tick took longer than the way and a tick do confirmations tell the pace.

Change: a server gone for 60 s that no table names is forgotten (new: Action::Forget); the engine drops its name, what proxies were told of it and the tables that went out of use, once nothing that waits to be written names it. Numbers are not used again. Eight bytes of each of the last 8,192 forgotten names tell one that returns, which is let back with its first line. What the list names for the first time is let back in form, which costs no line.

Tests: 20 rounds of replaced servers leave 4 known; a returned name is let back; what waits keeps its names.

--- a/crates/adapter/src/codec.rs
+++ b/crates/adapter/src/codec.rs
@@ -263,6 +263,9 @@
             let contents = if data.is_empty() { "-".to_string() } else { STANDARD.encode(data) };
             format!("notify\trecipient={to}\tcontents={contents}")
         }
+        Action::Forget(server) => {
+            return Err(Fault::Action(format!("nothing is said of forgetting {}", server.0)))
+        }
         Action::Note(note) => {
             let told =
                 chutegrade_engine::told(note, |server| server.0.to_string(), |zone| zone.0.to_string());
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use chutegrade_policy::interface::{Entry, Event, ListKind, Micros};
+use chutegrade_policy::interface::{Action, Entry, Event, ListKind, Micros};
 use chutegrade_policy::policy::Policy;
 
 use crate::codec::{self, Fault, Message};
@@ -122,7 +122,8 @@
             if !actions.is_empty() {
                 reply.push_str(&format!("source\tsupervisor={id}\n"));
             }
-            for action in actions {
+            // The wire keeps every server known: nothing is said of those that are forgotten.
+            for action in actions.into_iter().filter(|action| !matches!(action, Action::Forget(_))) {
                 match codec::write(&action) {
                     Ok(line) => {
                         reply.push_str(&line);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -221,6 +221,8 @@
     events: Vec<Event>,
     timers: BTreeSet<(Micros, u32)>,
     probes: VecDeque<ServerId>,
+    /// Servers that the decisions have forgotten, until nothing that waits names them.
+    going: BTreeSet<ServerId>,
     list: ListWish,
     notes: Notes,
     measuring: Measuring,
@@ -272,6 +274,7 @@
             events: Vec::new(),
             timers: BTreeSet::new(),
             probes: VecDeque::new(),
+            going: BTreeSet::new(),
             notes: Notes::default(),
             measuring: Measuring::default(),
             begun: false,
@@ -288,12 +291,7 @@
             Report::List(kind, listed) => {
                 // A subscription that was lost is none: the decisions ask for it anew.
                 self.list.watch &= kind != ListKind::Lost;
-                let entries: Vec<Entry> = listed.iter().map(|listed| self.names.listed(listed)).collect();
-                entries
-                    .iter()
-                    .zip(&listed)
-                    .for_each(|(entry, listed)| self.notes.listed(entry.server, listed));
-                Event::Members(kind, entries)
+                Event::Members(kind, listed.iter().map(|listed| self.listed(listed)).collect())
             }
             Report::Joined { stream, proxy, zone, rate, new } => {
                 let (zone, id) = (self.zone(&zone)?, self.proxy(proxy)?);
@@ -338,6 +336,16 @@
         Ok(())
     }
 
+    fn listed(&mut self, listed: &Listed) -> Entry {
+        let entry = self.names.listed(listed);
+        self.notes.listed(entry.server, listed);
+        let known_before = self.going.remove(&entry.server) || self.names.has_returned(entry.server);
+        if known_before {
+            self.tables.returned(entry.server);
+        }
+        entry
+    }
+
     fn advice(&self, advised: &Advised) -> Advice {
         let server = |name: &str| self.names.server(name);
         let class = |name: &str| self.names.class(name);
@@ -451,8 +459,11 @@
                 }
                 Action::Clear(table) => self.tables.clear(*table),
                 Action::Withdraw { server, out } => {
+                    // A server that is new is let back for the case that it was known before.
+                    if !self.tables.withdraw(*server, *out) && !*out {
+                        continue;
+                    }
                     sent.withdrawals += 1;
-                    self.tables.withdraw(*server, *out);
                 }
                 Action::Admit { table, classes, level, retry } => {
                     let strain = if self.notes.recording { self.policy.figures().strain } else { 0.0 };
@@ -474,6 +485,9 @@
                         notes::told(note, |id| self.server_name(id), |zone| self.names.zone_name(zone));
                     self.notes.add(now, now, kind, true);
                 }
+                Action::Forget(server) => {
+                    self.going.insert(*server);
+                }
                 // The protocol has no way between instances, and the decisions do not ask for one.
                 Action::Tell { .. } => {}
             }
@@ -484,12 +498,28 @@
             }
         }
         self.streams.end_turn(mark);
+        self.forget_the_gone();
         if sent != pb::Published::default() {
             sent.streams = u32::try_from(self.streams.reached()).unwrap_or(u32::MAX);
             self.notes.add(now, now, Kind::Published(sent), false);
         }
     }
 
+    /// What waits to be written keeps its names, or a line that takes a server out would be lost.
+    fn forget_the_gone(&mut self) {
+        let (tables, streams) = (&mut self.tables, &mut self.streams);
+        let named = |server: &ServerId| tables.name(*server) || streams.name(*server);
+        let (kept, gone): (BTreeSet<_>, BTreeSet<_>) =
+            std::mem::take(&mut self.going).into_iter().partition(named);
+        self.going = kept;
+        for server in gone {
+            tables.forget(server);
+            streams.forget(server);
+            self.notes.forget(server, &self.names.name(server).unwrap_or_default());
+            self.names.forget(server);
+        }
+    }
+
     fn server_name(&self, id: ServerId) -> String {
         self.names.name(id).map_or_else(|| id.0.to_string(), |name| name.to_string())
     }
--- a/crates/engine/src/engine/tests.rs
+++ b/crates/engine/src/engine/tests.rs
@@ -546,3 +546,61 @@
         }
     }
 }
+
+/// Servers replaced over and over, as over months: what is gone for long leaves nothing behind, and no number is used
+/// again. One that returns under its name after that is let back by name at whoever may hold it as shut out.
+#[test]
+fn servers_long_gone_are_forgotten_and_one_that_returns_is_let_back() {
+    let mut engine = serving();
+    assert_eq!(engine.report(joined(1, 0, true)), Ok(()));
+    let mut now = Micros(10_000);
+    let mut turn = |engine: &mut Engine, events: Vec<Listed>, seconds: i64| {
+        assert_eq!(engine.report(Report::List(ListKind::Changes, events)), Ok(()));
+        let mut told = (BTreeSet::new(), BTreeSet::new());
+        for _ in 0..2 * seconds {
+            now = now + Micros(500_000);
+            engine.tick(now);
+            if let Some(order) = engine.pick_order(StreamId(1)) {
+                told.0.extend(order.drop.iter().map(|name| name.to_string()));
+                told.1.extend(order.undrop.iter().map(|name| name.to_string()));
+                let (stream, took) = (StreamId(1), Micros(1000));
+                let mark = order.stamp.expect("a mark");
+                assert_eq!(engine.report(Report::Ack { stream, mark, took }), Ok(()));
+            }
+        }
+        told
+    };
+    let mut ids = BTreeSet::new();
+    for round in 0..20 {
+        let came = (4 + 4 * round..8 + 4 * round).map(listed).collect();
+        turn(&mut engine, came, 30);
+        ids.extend((4 * round..4 + 4 * round).filter_map(|of| engine.names.server(&format!("s{of}"))));
+        let life = |life| move |of| Listed { life, ..listed(of) };
+        turn(&mut engine, (4 * round..4 + 4 * round).map(life(Lifecycle::Draining)).collect(), 3);
+        turn(&mut engine, (4 * round..4 + 4 * round).map(life(Lifecycle::Gone)).collect(), 90);
+    }
+    assert_eq!(ids.len(), 80, "each has a number of its own");
+    let known = (0..84).filter(|of| engine.names.server(&format!("s{of}")).is_some()).count();
+    assert_eq!((known, engine.policy.standings().len(), engine.going.len()), (4, 4, 0));
+    assert!((0..80).all(|of| !engine.tables.is_withdrawn(ServerId(of))), "nor as shut out");
+    let told = turn(&mut engine, vec![listed(3), listed(99)], 30);
+    assert_eq!(told, (BTreeSet::new(), BTreeSet::from(["s3".to_string()])), "s99 is new to all");
+}
+
+/// Danger: a stream that stands still would lose the line that takes a server out, with the server's name.
+#[test]
+fn what_waits_to_be_written_keeps_its_names() {
+    let mut engine = serving();
+    assert_eq!(engine.report(joined(1, 0, true)), Ok(()));
+    engine.tick(Micros(10_000));
+    assert!(engine.pick_order(StreamId(1)).is_some());
+    let out = Action::Withdraw { server: ServerId(2), out: true };
+    engine.carry_out(Micros(20_000), vec![out, Action::Forget(ServerId(2))]);
+    let order = engine.pick_order(StreamId(1)).expect("an order");
+    assert_eq!(order.drop.iter().map(|name| name.to_string()).collect::<Vec<_>>(), ["s2"]);
+    let removed = |table| Action::Line { table: TableId(table), server: ServerId(2), weight: 0.0 };
+    engine.carry_out(Micros(30_000), vec![removed(0), removed(1)]);
+    assert!(engine.pick_order(StreamId(1)).is_some());
+    engine.carry_out(Micros(40_000), vec![]);
+    assert_eq!(engine.names.server("s2"), None);
+}
--- a/crates/engine/src/names.rs
+++ b/crates/engine/src/names.rs
@@ -1,7 +1,9 @@
-//! Names to ids and back. Ids carry no meaning; a server that was once listed stays known, since tables and
-//! late reports may still name it.
+//! Names to ids and back. Ids carry no meaning and are never used twice; a server that was once listed stays known until
+//! the decisions have forgotten it, since tables and late reports may still name it.
 
-use std::collections::HashMap;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{HashMap, VecDeque};
+use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 
 use chutegrade_policy::interface::{ClassId, Entry, Lifecycle, Micros, ServerId, ZoneId};
@@ -30,16 +32,25 @@
 struct Known {
     name: Rc<str>,
     address: String,
+    /// Its name was forgotten before: proxies may know it still, as one that is shut out.
+    returned: bool,
 }
 
+/// Names that were forgotten and are told from new ones, by eight bytes each: several times the servers of the largest
+/// fleet, all replaced. One beyond it that returns is told as new.
+const FORGOTTEN_MOST: usize = 8192;
+
 /// The names that are known.
 #[derive(Default)]
 pub(crate) struct Names {
     zones: Vec<String>,
     kinds: Vec<String>,
     classes: Vec<Rc<str>>,
-    servers: Vec<Known>,
+    servers: HashMap<ServerId, Known>,
     by_name: HashMap<Rc<str>, ServerId>,
+    /// The number of the next server.
+    next: u32,
+    forgotten: VecDeque<u64>,
 }
 
 impl Names {
@@ -73,17 +84,32 @@
     }
 
     pub fn name(&self, server: ServerId) -> Option<Rc<str>> {
-        self.servers.get(server.0 as usize).map(|known| known.name.clone())
+        self.servers.get(&server).map(|known| known.name.clone())
     }
 
     pub fn address(&self, server: ServerId) -> Option<&str> {
-        self.servers.get(server.0 as usize).map(|known| known.address.as_str())
+        self.servers.get(&server).map(|known| known.address.as_str())
+    }
+
+    /// Whether proxies may know the server from before its name was forgotten.
+    pub fn has_returned(&self, server: ServerId) -> bool {
+        self.servers.get(&server).is_some_and(|known| known.returned)
+    }
+
+    /// Nothing names the server any more. Its number is not used again.
+    pub fn forget(&mut self, server: ServerId) {
+        let Some(known) = self.servers.remove(&server) else { return };
+        self.by_name.remove(&known.name);
+        if self.forgotten.len() >= FORGOTTEN_MOST {
+            self.forgotten.pop_front();
+        }
+        self.forgotten.push_back(digest(&known.name));
     }
 
     /// The entry as the decisions know it; a zone or kind that the settings do not name gets a further number.
     pub fn listed(&mut self, listed: &Listed) -> Entry {
         let server = self.server(&listed.name).unwrap_or_else(|| self.intern(&listed.name));
-        if let Some(known) = self.servers.get_mut(server.0 as usize).filter(|_| !listed.address.is_empty()) {
+        if let Some(known) = self.servers.get_mut(&server).filter(|_| !listed.address.is_empty()) {
             known.address.clone_from(&listed.address);
         }
         Entry {
@@ -98,13 +124,23 @@
     }
 
     fn intern(&mut self, name: &str) -> ServerId {
-        let (id, name) = (ServerId(self.servers.len() as u32), Rc::from(name));
+        let (id, digest) = (ServerId(self.next), digest(name));
+        self.next += 1;
+        let returned = self.forgotten.contains(&digest);
+        self.forgotten.retain(|of| *of != digest);
+        let name: Rc<str> = Rc::from(name);
         self.by_name.insert(Rc::clone(&name), id);
-        self.servers.push(Known { name, address: String::new() });
+        self.servers.insert(id, Known { name, address: String::new(), returned });
         id
     }
 }
 
+fn digest(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn position(names: &mut Vec<String>, name: &str) -> usize {
     names.iter().position(|known| known == name).unwrap_or_else(|| {
         names.push(name.to_string());
--- a/crates/engine/src/notes.rs
+++ b/crates/engine/src/notes.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Nothing names the server any more.
+    pub fn forget(&mut self, id: ServerId, name: &str) {
+        self.started.remove(&id);
+        self.observer.forget(name);
+    }
+
     /// Gives what is new its times, as a tick learns of it.
     pub fn learn(&mut self, now: Micros) {
         for (begun, kind) in std::mem::take(&mut self.fresh) {
--- a/crates/engine/src/order.rs
+++ b/crates/engine/src/order.rs
@@ -102,6 +102,11 @@
         std::mem::take(&mut self.touched)
     }
 
+    pub fn names(&self, server: ServerId) -> bool {
+        let rows = self.classes.values().any(|pending| pending.rows.contains_key(&server));
+        rows || self.withdrawn.contains_key(&server)
+    }
+
     pub fn is_empty(&self) -> bool {
         self.classes.is_empty() && self.withdrawn.is_empty() && self.stamp.is_none()
     }
--- a/crates/engine/src/streams.rs
+++ b/crates/engine/src/streams.rs
@@ -28,7 +28,8 @@
     /// proxy across streams, so what it brings is put right with the first line that names the server.
     fn names(&mut self, server: ServerId, all: &Tables) {
         let out = all.is_withdrawn(server);
-        let known = self.told.get(&server).copied().or((!self.brought).then_some(false));
+        let unknown = self.brought || all.has_returned(server);
+        let known = self.told.get(&server).copied().or((!unknown).then_some(false));
         if known != Some(out) {
             self.told.insert(server, out);
             self.draft.withdraw(server, out);
@@ -195,6 +196,17 @@
         concerned
     }
 
+    /// Whether anything that waits to be written names the server.
+    pub fn name(&self, server: ServerId) -> bool {
+        self.proxies.values().any(|joined| joined.draft.names(server))
+    }
+
+    pub fn forget(&mut self, server: ServerId) {
+        self.proxies.values_mut().for_each(|joined| {
+            joined.told.remove(&server);
+        });
+    }
+
     /// How many streams have something to write.
     pub fn reached(&self) -> usize {
         self.reached.len()
--- a/crates/engine/src/tables.rs
+++ b/crates/engine/src/tables.rs
@@ -19,6 +19,8 @@
     tables: BTreeMap<TableId, Table>,
     for_all: BTreeMap<usize, Level>,
     withdrawn: BTreeSet<ServerId>,
+    /// Servers that proxies may know from before, as shut out.
+    returned: BTreeSet<ServerId>,
     classes: usize,
 }
 
@@ -72,14 +74,33 @@
         }
     }
 
-    pub fn withdraw(&mut self, server: ServerId, out: bool) {
+    /// Shuts a server out or lets it back; whether that is news.
+    pub fn withdraw(&mut self, server: ServerId, out: bool) -> bool {
         if out {
-            self.withdrawn.insert(server);
+            self.withdrawn.insert(server)
         } else {
-            self.withdrawn.remove(&server);
+            self.withdrawn.remove(&server)
         }
     }
 
+    /// Proxies may know the server from before, as shut out.
+    pub fn returned(&mut self, server: ServerId) {
+        self.returned.insert(server);
+    }
+
+    pub fn has_returned(&self, server: ServerId) -> bool {
+        self.returned.contains(&server)
+    }
+
+    pub fn name(&self, server: ServerId) -> bool {
+        self.tables.values().any(|table| table.lines.contains_key(&server))
+    }
+
+    pub fn forget(&mut self, server: ServerId) {
+        self.withdrawn.remove(&server);
+        self.returned.remove(&server);
+    }
+
     pub fn is_withdrawn(&self, server: ServerId) -> bool {
         self.withdrawn.contains(&server)
     }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -175,6 +175,9 @@
     pub home_only: bool,
 }
 
+/// What a limit counts as that the settings do not name, or name as nothing.
+pub const NO_LIMIT: f64 = 1e12;
+
 /// The settings an instance starts with.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
@@ -558,6 +561,8 @@
         /** The payload. */
         data: Vec<u8>,
     },
+    /// A server is long gone and no table names it: nothing need be kept of it. It may be listed again, as a new one.
+    Forget(ServerId),
     /// Something to tell; nothing follows from it.
     Note(Note),
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -106,10 +106,10 @@
 const HEADS_SHARE: f64 = 0.2;
 /// Beyond the longest way there and back, no confirmation for so long means an empty channel.
 const CHANNEL_SILENT: Micros = Micros(3_000_000);
-/// The channel's pace: its least share of the stated one, and its growth a tick while nothing is late.
+/// The channel's pace: its least share of the stated one, and its growth in a tick with none late.
 const PACE: (f64, f64) = (0.05, 1.25);
-/// What a setting that names no limit counts as.
-const NO_LIMIT: f64 = 1e12;
+/// One that is gone for so long is forgotten: reports on it come no later. Danger: replaced servers add up.
+const FORGET: Micros = Micros(60_000_000);
 
 /// Least time between two changes of advice, and the longest that any stands without being said again.
 const ADVICE: (Micros, Micros) = (Micros(5_000_000), Micros(15_000_000));
@@ -174,13 +174,6 @@
     fn saturated(&self) -> f64 {
         self.busy.sum / (self.busy.weight + PRIOR_BUSY)
     }
-
-    /// Share of its capacity that a server is sure to have, by the time since its start.
-    fn warmth(&self, now: Micros, settings: &Settings) -> f64 {
-        let age = self.entry.started.map_or(f64::MAX, |started| (now - started).secs().max(0.0));
-        let warmed = clamp01(age / settings.cold_for.secs().max(1e-6));
-        (settings.cold_from + (1.0 - settings.cold_from) * warmed).clamp(0.01, 1.0)
-    }
 }
 
 /// One instance of the decisions.
@@ -190,6 +183,7 @@
     seed: u64,
     started: bool,
     servers: BTreeMap<ServerId, Server>,
+    dealt: usize,
     proxies: BTreeMap<ProxyId, Proxy>,
     tables: BTreeMap<TableId, Table>,
     schemes: Vec<Scheme>,
@@ -213,10 +207,7 @@
 
 impl Policy {
     /// An instance that knows its settings and nothing else.
-    pub fn new(mut settings: Settings, seed: u64) -> Self {
-        for limit in [&mut settings.backlog, &mut settings.lines_per_s].into_iter().filter(|l| **l <= 0.0) {
-            *limit = NO_LIMIT;
-        }
+    pub fn new(settings: Settings, seed: u64) -> Self {
         let channel = Channel { pace: settings.lines_per_s, ..Channel::default() };
         let came = vec![Fading::default(); settings.classes.len()];
         let admission = Admission { came, ..Admission::default() };
@@ -312,8 +303,8 @@
                 }
                 self.admission.came.get_mut(usize::from(class.0)).into_iter().for_each(|c| c.add(*came, 1.0));
             }
-            Event::Receipt { proxy, mark, .. } => {
-                self.channel.confirmed(now, *proxy, *mark);
+            Event::Receipt { proxy, mark, took } => {
+                self.channel.confirmed(now, *proxy, *mark, *took);
                 for handover in self.slices.values_mut().flatten().filter(|h| h.mark == *mark) {
                     handover.waits_for.remove(proxy);
                 }
@@ -367,8 +358,11 @@
                 }
                 Some(known) => known.entry = *entry,
                 None => {
-                    let new = Server::new(*entry, first && !cold);
-                    self.servers.insert(entry.server, Server { dealt: self.servers.len(), ..new });
+                    // One that was forgotten may still be shut out by name, or is listed only now that it leaves.
+                    let shut = !first && entry.life == Lifecycle::InService;
+                    let new = Server { shut, dealt: self.dealt, ..Server::new(*entry, first && !cold) };
+                    self.servers.insert(entry.server, new);
+                    self.dealt += 1;
                 }
             }
         }
@@ -388,7 +382,7 @@
         }
         out.extend(self.subscribe_at.take_if(|at| *at <= now).map(|_| Action::Subscribe(true)));
         self.further = way(self.open().map(|(_, server)| server), self.settings.zone);
-        self.pace(now, elapsed);
+        self.pace(elapsed);
         // Failed probes blame no server while few are answered: the own process or the way there may fail.
         let mute = mute(self.open().map(|(_, server)| server));
         // Danger: a zone cut off from here would pass for a jam, and all would be refused for it.
@@ -430,7 +424,7 @@
             step(server, error, latency);
             server.terms = (error, latency);
             if server.state != before {
-                let (state, score, cause) = (server.state, server.score, cause(server, before));
+                let (state, score, cause) = (server.state, server.score, view::cause(server, before));
                 let note = Note::State { server: *id, zone, state, score, errors: error, latency, cause };
                 out.push(Action::Note(note));
             }
@@ -710,7 +704,8 @@
         let past = now - self.settings.messages_window;
         self.proxies.values_mut().for_each(|proxy| proxy.written.retain(|at| *at >= past));
         let mut orders = Orders::new(self.channel.waiting(), self.settings.message_head + 1.0);
-        self.shut_the_leaving(&mut orders);
+        self.shut_the_leaving(now, &mut orders);
+        self.forget_the_gone(now, &mut orders);
         self.weigh(now);
         if self.settings.slices > 0 {
             self.slice_lines(now, &mut orders);
@@ -730,13 +725,14 @@
         out.append(&mut orders.actions);
     }
 
-    /// How fast the channel sends now: only while something is late do confirmations tell, else it has room.
-    fn pace(&mut self, now: Micros, elapsed: f64) {
+    /// How fast the channel sends now: confirmations tell while the quickest come late, else it has room.
+    fn pace(&mut self, elapsed: f64) {
         let gone = std::mem::take(&mut self.channel.gone) / elapsed.max(1e-3);
-        let late = self.channel.is_late(now - self.settings.way_most - self.settings.way_most - TICK);
         let (stated, pace) = (self.settings.lines_per_s, self.channel.pace);
-        let seen = if gone > 0.0 { smooth(pace, gone) } else { pace };
-        self.channel.pace = if late { seen } else { pace * PACE.1 }.clamp(PACE.0 * stated, stated);
+        let late = |took| took > self.settings.way_most + TICK;
+        let seen = |took| if late(took) { smooth(pace, gone) } else { pace * PACE.1 };
+        let seen = self.channel.quickest.take().map_or(pace, seen);
+        self.channel.pace = seen.clamp(PACE.0 * stated, stated);
     }
 
     /// The one account of the channel, which every order asks: whether so many lines for each of these fit what
@@ -792,13 +788,16 @@
 
     /// Drains kept: a server that drains or is gone is shut out of all tables at once, whatever they name.
     /// One that returns stays out until no proxy can hold its old weight. Danger: it is cold.
-    fn shut_the_leaving(&mut self, orders: &mut Orders) {
-        if self.parts > 0 && self.proxies.values().all(|proxy| proxy.bound) {
-            self.tables.retain(|table, _| self.schemes.iter().any(|scheme| scheme.table == *table));
-        }
+    fn shut_the_leaving(&mut self, now: Micros, orders: &mut Orders) {
+        let kept = |table: &TableId| self.schemes.iter().any(|scheme| scheme.table == *table);
+        let unused = self.parts > 0 && self.proxies.values().all(|proxy| proxy.bound);
+        let unused: Vec<_> = self.tables.keys().filter(|id| unused && !kept(id)).copied().collect();
+        orders.actions.extend(unused.iter().map(|table| Action::Clear(*table)));
+        self.tables.retain(|table, _| !unused.contains(table));
         for server in self.servers.values_mut() {
             let Entry { server: id, zone, life, .. } = server.entry;
             if std::mem::replace(&mut server.told, life) != life {
+                server.since = now;
                 orders.actions.push(Action::Note(Note::Life { server: id, zone, life }));
             }
         }
@@ -817,6 +816,17 @@
         }
     }
 
+    /// What is known of one that is long gone goes, once no table names it.
+    fn forget_the_gone(&mut self, now: Micros, orders: &mut Orders) {
+        let long = |s: &Server| s.shut && s.told == Lifecycle::Gone && now - s.since >= FORGET;
+        let named = |id: &ServerId| self.tables.values().any(|table| table.lines.contains_key(id));
+        let gone = self.servers.iter().filter(|(id, server)| long(server) && !named(id));
+        for id in gone.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.servers.remove(&id);
+            orders.actions.push(Action::Forget(id));
+        }
+    }
+
     fn table_lines(&mut self, now: Micros, orders: &mut Orders) {
         let (mut changes, mut tables, whole) = (Vec::new(), BTreeMap::new(), Zones::new());
         let (demand, out) = self.cold_demand();
@@ -1038,19 +1048,6 @@
     value + if newest < value { EWMA.1 } else { EWMA.0 } * (newest - value)
 }
 
-/// What a change from this state comes from.
-fn cause(server: &Server, before: State) -> Cause {
-    let (errors, latency) = server.terms;
-    match (before, server.state) {
-        (State::Withdrawn, _) => Cause::TriedAgain,
-        (_, State::Full) => Cause::GoodTicks,
-        _ if latency < errors => Cause::Latency,
-        _ if server.probing.failing > 0 => Cause::Probes,
-        _ if errors < latency => Cause::Errors,
-        _ => Cause::Score,
-    }
-}
-
 /// One tick of the state machine, by the design's thresholds and dwell counts.
 fn step(server: &mut Server, error: f64, other: f64) {
     let term = error.min(other);
--- a/crates/policy/src/policy/view.rs
+++ b/crates/policy/src/policy/view.rs
@@ -1,7 +1,7 @@
 //! What the decisions show of themselves. Nothing here decides or changes anything.
 
 use crate::interface::*;
-use crate::state::clamp01;
+use crate::state::{clamp01, Server};
 
 use super::{Policy, ADMIT};
 
@@ -49,3 +49,16 @@
         self.proxies.len()
     }
 }
+
+/// What a change from this state comes from.
+pub(super) fn cause(server: &Server, before: State) -> Cause {
+    let (errors, latency) = server.terms;
+    match (before, server.state) {
+        (State::Withdrawn, _) => Cause::TriedAgain,
+        (_, State::Full) => Cause::GoodTicks,
+        _ if latency < errors => Cause::Latency,
+        _ if server.probing.failing > 0 => Cause::Probes,
+        _ if errors < latency => Cause::Errors,
+        _ => Cause::Score,
+    }
+}
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -93,7 +93,9 @@
     pub out_ticks: u32,
     pub return_after: u32,
     pub ceiling: f64,
+    /// The life that was told of last, and since when.
     pub told: Lifecycle,
+    pub since: Micros,
     pub shut: bool,
 }
 
@@ -113,6 +115,12 @@
     pub fn loaded(&self) -> Option<f64> {
         Some(self.speed.at_work.mean()? / self.probes_now.mean()?)
     }
+    /// Share of its capacity that a server is sure to have, by the time since its start.
+    pub fn warmth(&self, now: Micros, settings: &Settings) -> f64 {
+        let age = self.entry.started.map_or(f64::MAX, |started| (now - started).secs().max(0.0));
+        let warmed = clamp01(age / settings.cold_for.secs().max(1e-6));
+        (settings.cold_from + (1.0 - settings.cold_from) * warmed).clamp(0.01, 1.0)
+    }
     /// The listed weight, never quite nothing.
     pub fn size(&self) -> f64 {
         self.entry.weight.max(f64::MIN_POSITIVE)
@@ -205,6 +213,8 @@
     pub mark: u16,
     pub confirmed: Micros,
     pub gone: f64,
+    /// The least time that one of these took.
+    pub quickest: Option<Micros>,
     pub pace: f64,
 }
 
@@ -218,11 +228,12 @@
     }
     /// Messages leave in order: one that arrived tells that all of earlier turns have left. A mark that was not
     /// written to this proxy tells nothing.
-    pub fn confirmed(&mut self, now: Micros, proxy: ProxyId, mark: u16) {
+    pub fn confirmed(&mut self, now: Micros, proxy: ProxyId, mark: u16, took: Micros) {
         let written =
             |(_, sent, lines): &(_, u16, BTreeMap<ProxyId, f64>)| *sent == mark && lines.contains_key(&proxy);
         if let Some(turn) = self.turns.iter().position(written) {
             self.confirmed = now;
+            self.quickest = Some(self.quickest.map_or(took, |quickest| quickest.min(took)));
             self.gone += self.turns.drain(..turn).flat_map(|(_, _, lines)| lines.into_values()).sum::<f64>();
             let first = self.turns.front_mut().and_then(|(_, _, lines)| lines.remove(&proxy));
             self.gone += first.unwrap_or(0.0);
@@ -244,10 +255,6 @@
     pub fn largest(&self) -> f64 {
         self.turns.iter().flat_map(|(_, _, lines)| lines.values()).copied().fold(0.0, f64::max)
     }
-    /// Whether anything written before then still waits.
-    pub fn is_late(&self, before: Micros) -> bool {
-        self.turns.iter().any(|(at, _, lines)| *at < before && !lines.is_empty())
-    }
 }
 
 /// A change to a table's line that waits to be sent.
@@ -400,10 +407,10 @@
         let lines = |of: &[u32]| of.iter().map(|id| (ProxyId(*id), 4.0)).collect::<BTreeMap<_, _>>();
         channel.send(Micros(1), 1, lines(&[1, 2]));
         channel.send(Micros(2), 2, lines(&[2]));
-        channel.confirmed(Micros(3), ProxyId(1), 2);
-        channel.confirmed(Micros(3), ProxyId(2), 77);
+        channel.confirmed(Micros(3), ProxyId(1), 2, Micros(1));
+        channel.confirmed(Micros(3), ProxyId(2), 77, Micros(1));
         assert_eq!((channel.waiting(), channel.confirmed), (12.0, Micros(0)));
-        channel.confirmed(Micros(4), ProxyId(2), 2);
+        channel.confirmed(Micros(4), ProxyId(2), 2, Micros(1));
         assert_eq!((channel.waiting(), channel.confirmed), (0.0, Micros(4)));
     }
 }
