No cap below 1,024 servers or supervisors; a tick's tables cost what they name, not the fleet each

Caps found by reading each named limit, and what became of them: probes under way 256 (servers.rs; a list of 300 slow servers went partly unprobed) -> 4,096, a task each only when due; directories below one that the console and the report read, one a supervisor, 256 (timeline.rs) -> 4,096; maps and sets of plug-ins 256 -> 2,048; the listener's backlog 1,024 -> twice the proxies that the settings name, at least 1,024.

Each table's target went through the whole fleet, and each table's users through all proxies, at every join too: policy.rs, target and table_lines. Now the servers are dealt into their parts and the proxies onto their tables once a turn, and proxies that stand on tables are looked at in ticks alone.

--- a/crates/plugins/src/code.rs
+++ b/crates/plugins/src/code.rs
@@ -7,9 +7,9 @@
 /// Version of the hooks that this host offers; a plug-in names the least that it needs.
 pub const HOST_VERSION: u32 = 1;
 /// Entries of a map at most.
-pub const MAP_MOST: usize = 256;
+pub const MAP_MOST: usize = 2048;
 /// Elements of a set at most.
-pub const SET_MOST: usize = 256;
+pub const SET_MOST: usize = 2048;
 /// Constants, functions, states and locals at most: what an operation can name.
 pub const CONSTANTS_MOST: usize = u16::MAX as usize;
 /// Functions, states, locals and loops of a function at most.
--- a/crates/plugins/tests/hostile.rs
+++ b/crates/plugins/tests/hostile.rs
@@ -79,7 +79,7 @@
         text("hook turn() { let n = 99999999999999999999999999 }"),
         text("hook turn() { let n = 1e400 }"),
         text("hook turn() { let n = nan }"),
-        text(&format!("let s = [{}]", (0..2000).map(|n| format!("{n},")).collect::<String>())),
+        text(&format!("let s = [{}]", (0..3000).map(|n| format!("{n},")).collect::<String>())),
         many("state s@ = 0\n"),
         many("fn f@() { }\n"),
         many("hook turn() { }\n"),
--- /dev/null
+++ b/crates/policy/benches/tick.rs
@@ -0,0 +1,125 @@
+#![allow(missing_docs)]
+//! What the decisions cost at size: a tick of a fleet that stands, and the joining of all its proxies, one batch each two
+//! milliseconds, as while the streams of lost supervisors come over.
+
+use chutegrade_policy::interface::*;
+use chutegrade_policy::policy::Policy;
+use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
+
+const ZONES: u16 = 3;
+/// Proxies that join in one batch.
+const AT_ONCE: u32 = 10;
+
+fn settings(proxies: u32) -> Settings {
+    let class = |effect| Class {
+        aim: Micros(600_000),
+        deadline: Micros(2_000_000),
+        worth: 2.0,
+        effect,
+        home_only: false,
+    };
+    Settings {
+        instances: 5,
+        zones: ZONES.into(),
+        classes: vec![class(Effect::Safe), class(Effect::Unsafe), class(Effect::Safe)],
+        proxies: proxies as usize,
+        levels: LevelKind::Fraction,
+        probes: true,
+        backlog: 60_000.0,
+        lines_per_s: 9_000.0,
+        message_head: 3.0,
+        way_most: Micros(500_000),
+        report_period: Micros(1_000_000),
+        drain_grace: Micros(2_000_000),
+        cold_from: 0.3,
+        cold_for: Micros(10_000_000),
+        fall_multiple: 3.0,
+        ..Settings::default()
+    }
+}
+
+fn joins(from: u32, to: u32) -> Vec<Event> {
+    let joined = |id: u32| Event::Joined {
+        proxy: ProxyId(id),
+        zone: ZoneId((id % u32::from(ZONES)) as u16),
+        rate: 2.0 + f64::from(id % 5),
+        brought: true,
+    };
+    (from..to).map(joined).collect()
+}
+
+/// An instance that knows its list.
+fn begun(servers: u32, proxies: u32) -> Policy {
+    let entry = |id: u32| Entry {
+        server: ServerId(id),
+        zone: ZoneId((id % u32::from(ZONES)) as u16),
+        weight: 4.0,
+        ..Entry::default()
+    };
+    let mut policy = Policy::new(settings(proxies), 7);
+    policy.handle(Micros(0), &[Event::Members(ListKind::WarmCopy, (0..servers).map(entry).collect())]);
+    policy
+}
+
+/// All proxies join, batch by batch; every mark is answered at once.
+fn join(policy: &mut Policy, proxies: u32) {
+    for batch in 0..proxies / AT_ONCE {
+        let now = Micros(1_000_000 + 2000 * i64::from(batch));
+        let actions = policy.handle(now, &joins(batch * AT_ONCE, (batch + 1) * AT_ONCE));
+        answer(policy, now, &actions);
+    }
+}
+
+fn answer(policy: &mut Policy, now: Micros, actions: &[Action]) {
+    let mark = actions.iter().find_map(|action| match action {
+        Action::Mark { mark, .. } => Some(*mark),
+        _ => None,
+    });
+    let bound = actions.iter().filter_map(|action| match action {
+        Action::Bind { proxy, .. } => Some(*proxy),
+        _ => None,
+    });
+    let took = Micros(1000);
+    let receipts = mark.into_iter().flat_map(|mark| bound.clone().map(move |proxy| (proxy, mark)));
+    let receipts: Vec<_> = receipts.map(|(proxy, mark)| Event::Receipt { proxy, mark, took }).collect();
+    policy.handle(now, &receipts);
+}
+
+fn tick(c: &mut Criterion) {
+    let mut group = c.benchmark_group("tick");
+    group.sample_size(10);
+    for (servers, proxies) in [(200, 500), (200, 2500), (512, 2500), (1024, 2500)] {
+        let mut policy = begun(servers, proxies);
+        join(&mut policy, proxies);
+        let mut now = Micros(60_000_000);
+        let heard = |id: u32| Event::Heard {
+            zone: ZoneId(0),
+            server: ServerId(id),
+            tries: 8.0,
+            failed: 0.0,
+            mean_ms: 120.0 + f64::from(id % 7),
+            period: Micros(1_000_000),
+            load: Load { queue: Some(0.5), ..Load::default() },
+        };
+        let mut events: Vec<Event> = (0..servers).map(heard).collect();
+        events.push(Event::Timer(1));
+        let size = format!("{servers} servers, {proxies} proxies");
+        group.bench_function(BenchmarkId::new("stands", &size), |b| {
+            b.iter(|| {
+                now = now + Micros(500_000);
+                policy.handle(now, &events)
+            });
+        });
+        group.bench_function(BenchmarkId::new("all join", &size), |b| {
+            b.iter_batched(
+                || begun(servers, proxies),
+                |mut policy| join(&mut policy, proxies),
+                BatchSize::LargeInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, tick);
+criterion_main!(benches);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -92,9 +92,8 @@
 const NARROW_FROM: (f64, Micros) = (0.3, Micros(30_000_000));
 /// To so many proxies, and at least so many servers, each.
 const NARROW_TO: (f64, f64) = (2.0, 5.0);
-/// What each kind of order may fill, in the order in which they go first: shares of the backlog, of the message
-/// limit, and, by what the channel sends within it, of the drains' grace beyond the way. Danger: what is written
-/// leaves in order, and a drain behind a long queue, or news behind a slow one, comes too late.
+/// What each kind of order may fill, first ones first: shares of the backlog, of the message limit, and of what
+/// the channel sends in the drains' grace, beyond the way. Danger: a drain behind a long queue comes too late.
 const DRAINS: Fill = (0.9, 1.0, f64::INFINITY);
 const GUARDS: Fill = (0.8, 0.8, 0.5);
 const JOINS: Fill = (0.65, 0.8, 0.5);
@@ -528,21 +527,21 @@
     }
 
     /// The lines a table should have.
-    fn target(&self, scheme: Scheme, lean: &Zones, cold: (f64, bool)) -> (Lines, bool) {
+    fn target(&self, scheme: Scheme, dealt: &Dealt, lean: &Zones, cold: (f64, bool)) -> (Lines, bool) {
         let Scheme { zone, home_only, part, .. } = scheme;
         let home = |server: &Server| !home_only || zone == server.entry.zone;
-        let of_part = |server: &&Server| part == self.parts || server.dealt % self.parts == part;
+        let of = |part| dealt.get(part).into_iter().flatten().filter_map(|id| self.servers.get_key_value(id));
         // Nobody without a server: a part that lost all its warm ones borrows those of the other parts.
-        let bare = !self.open().any(|(_, server)| home(server) && of_part(&server) && server.warmth >= 1.0);
-        let within = |server: &Server| home(server) && (bare || of_part(&server));
+        let bare = !of(part).any(|(_, server)| server.open() && home(server) && server.warmth >= 1.0);
+        let within = of(if bare { self.parts } else { part }).filter(|(_, server)| home(server));
         let lean = |server: &Server| match lean.get(&server.entry.zone).filter(|_| !home_only) {
             Some(_) if self.alone() && server.warmth < 1.0 && zone != server.entry.zone => 0.0,
             lean => lean.copied().unwrap_or(1.0),
         };
-        let here = self.open().filter(|(_, server)| within(server));
+        let here = within.clone().filter(|(_, server)| server.open());
         let mut lines: Lines = here.map(|(id, server)| (*id, server.weight * lean(server))).collect();
-        let known = self.servers.values().filter(|server| within(server)).map(Server::size).sum();
-        let listed = self.open().map(|(_, server)| server).filter(of_part).map(Server::size).sum();
+        let known = within.map(|(_, server)| server.size()).sum();
+        let listed = of(part).filter(|(_, server)| server.open()).map(|(_, server)| server.size()).sum();
         let void = self.advise(scheme, &mut lines);
         self.spare_the_cold(known, listed, cold, &mut lines);
         (lines, void)
@@ -703,7 +702,7 @@
         self.channel.forget(now - way - way - CHANNEL_SILENT - largest);
         let past = now - self.settings.messages_window;
         self.proxies.values_mut().for_each(|proxy| proxy.written.retain(|at| *at >= past));
-        let mut orders = Orders::new(self.channel.waiting(), self.settings.message_head + 1.0);
+        let mut orders = Orders::new(now, self.channel.waiting(), self.settings.message_head + 1.0);
         self.shut_the_leaving(now, &mut orders);
         self.forget_the_gone(now, &mut orders);
         self.weigh(now);
@@ -729,8 +728,8 @@
     fn pace(&mut self, elapsed: f64) {
         let gone = std::mem::take(&mut self.channel.gone) / elapsed.max(1e-3);
         let (stated, pace) = (self.settings.lines_per_s, self.channel.pace);
-        let late = |took| took > self.settings.way_most + TICK;
-        let seen = |took| if late(took) { smooth(pace, gone) } else { pace * PACE.1 };
+        let late = self.settings.way_most + TICK;
+        let seen = |took| if took > late { smooth(pace, gone) } else { pace * PACE.1 };
         let seen = self.channel.quickest.take().map_or(pace, seen);
         self.channel.pace = seen.clamp(PACE.0 * stated, stated);
     }
@@ -744,8 +743,8 @@
         let ahead = pace * (self.settings.way_most.secs() + kind.2 * grace);
         let waits = orders.waiting + orders.cost(to, lines);
         let room = waits <= kind.0 * self.settings.backlog && orders.waiting <= ahead;
-        let room = room || (urgent && orders.waiting <= 0.0);
-        to.is_empty() || (room && self.messages_used(to.iter()) <= kind.1)
+        let room = (room || (urgent && orders.waiting <= 0.0)) && self.messages_used(to.iter()) <= kind.1;
+        to.is_empty() || room
     }
 
     /// Deals the fleet into parts, each with its own tables, where naming all would leave a usual proxy
@@ -790,10 +789,11 @@
     /// One that returns stays out until no proxy can hold its old weight. Danger: it is cold.
     fn shut_the_leaving(&mut self, now: Micros, orders: &mut Orders) {
         let kept = |table: &TableId| self.schemes.iter().any(|scheme| scheme.table == *table);
-        let unused = self.parts > 0 && self.proxies.values().all(|proxy| proxy.bound);
-        let unused: Vec<_> = self.tables.keys().filter(|id| unused && !kept(id)).copied().collect();
-        orders.actions.extend(unused.iter().map(|table| Action::Clear(*table)));
-        self.tables.retain(|table, _| !unused.contains(table));
+        if self.parts > 0 && self.proxies.values().all(|proxy| proxy.bound) {
+            let unused = self.tables.keys().filter(|table| !kept(table));
+            orders.actions.extend(unused.map(|table| Action::Clear(*table)));
+            self.tables.retain(|table, _| kept(table));
+        }
         for server in self.servers.values_mut() {
             let Entry { server: id, zone, life, .. } = server.entry;
             if std::mem::replace(&mut server.told, life) != life {
@@ -831,8 +831,8 @@
         let (mut changes, mut tables, whole) = (Vec::new(), BTreeMap::new(), Zones::new());
         let (demand, out) = self.cold_demand();
         // Those who bring more than a part can bear are refused first, where limits say so.
-        let refused = (self.admission.refused, self.admission.refused);
-        let refused = self.limits.heavy.filter(|_| self.parts > 1).unwrap_or(refused);
+        let all = [self.admission.refused; 2].into();
+        let refused = self.limits.heavy.filter(|_| self.parts > 1).unwrap_or(all);
         let levels = (self.class_levels(refused.0), self.class_levels(refused.1));
         if std::mem::replace(&mut self.cold_out, out) != out {
             orders.actions.push(Action::Note(Note::Cold { held: out, tries: demand / COLD_DEMAND }));
@@ -841,15 +841,18 @@
         let can = shares(self.open().map(|(_, server)| (server.entry.zone, server.weight)));
         let lean = |zone: ZoneId| (zone, self.lean(zone, &can, &comes));
         let lean: BTreeMap<ZoneId, Zones> = self.zones().map(lean).collect();
+        let dealt = dealt(&self.servers, self.parts);
+        let mut on: BTreeMap<(ZoneId, usize), Vec<ProxyId>> = BTreeMap::new();
+        for (id, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.bound) {
+            on.entry((proxy.zone, proxy.part)).or_default().push(*id);
+        }
         for scheme in self.schemes.clone() {
             let lean = lean.get(&scheme.zone).unwrap_or(&whole);
             // A cold server that only its own zone's tables name meets no more than that zone's traffic.
             let traffic = comes.get(&scheme.zone).copied().filter(|_| self.alone());
             let cold = (demand * traffic.unwrap_or(1.0).max(0.5 / comes.len().max(1) as f64), out);
-            let serves = |p: &Proxy| p.bound && scheme.serves(p.zone, p.part);
-            let users = self.proxies.iter().filter(|(_, proxy)| serves(proxy));
-            let users: Vec<ProxyId> = users.map(|(id, _)| *id).collect();
-            let (target, void) = self.target(scheme, lean, cold);
+            let users = on.get(&(scheme.zone, scheme.part)).cloned().unwrap_or_default();
+            let (target, void) = self.target(scheme, &dealt, lean, cold);
             let rates = users.iter().filter_map(|id| Some(self.proxies.get(id)?.rate()));
             let rate = rates.sum::<f64>() / users.len().max(1) as f64;
             self.changes(scheme, &target, rate, &mut changes);
@@ -861,8 +864,7 @@
             for (k, &(level, retry)) in levels.iter().enumerate().filter(|(k, _)| scheme.classes.has(*k)) {
                 let known = self.tables.get(&scheme.table).and_then(|table| table.levels.get(&k));
                 if known != Some(&(level, retry)) && self.fits(orders, &users, 1.0, LEVELS) {
-                    let known = self.tables.entry(scheme.table).or_default();
-                    known.levels.insert(k, (level, retry));
+                    self.tables.entry(scheme.table).or_default().levels.insert(k, (level, retry));
                     let (table, classes) = (Some(scheme.table), ClassSet::default().with(k));
                     let order = Action::Admit { table, classes, level, retry };
                     orders.give(order, users.iter().copied());
@@ -942,10 +944,11 @@
         let shut = |id: &&ServerId| self.servers.get(id).is_some_and(|server| server.shut);
         // One that holds withdrawals is told of each server whether it is shut out. Danger: uncounted lines.
         let told = |t: &Table, all: bool| t.lines.keys().filter(|id| all || shut(id)).count();
-        let size = |t: &Table, all: bool| 1 + t.lines.len() + t.levels.len() + told(t, all);
-        let rates = self.proxies.iter().filter(|_| self.parts > 0);
-        let bare = |proxy: &Proxy| (!proxy.tables.is_empty(), proxy.bound);
-        let mut proxies: Vec<_> = rates.map(|(id, proxy)| (*id, bare(proxy), proxy.rate())).collect();
+        let size = |t: &Table, all| 1 + t.lines.len() + t.levels.len() + told(t, all);
+        // Those on tables in ticks alone. Danger: while a fleet joins all would be looked at each time.
+        let some = self.proxies.iter().filter(|(_, p)| !p.bound || self.ticked == orders.at);
+        let some = some.filter(|_| self.parts > 0).map(|(id, p)| (*id, (p.holds(), p.bound), p.rate()));
+        let mut proxies: Vec<_> = some.collect();
         proxies.sort_by(|a, b| a.1.cmp(&b.1).then(b.2.total_cmp(&a.2)));
         for (id, (holds, bound), rate) in proxies {
             let Some(proxy) = self.proxies.get(&id) else { continue };
@@ -981,10 +984,10 @@
 
     /// Tables of slices in charge: a line stays while its server is usable, since it knows the slice's keys.
     fn slice_lines(&mut self, now: Micros, orders: &mut Orders) {
-        let usable = self.target(Scheme::default(), &Zones::new(), self.cold_demand()).0;
+        let (all, whole) = (dealt(&self.servers, 0), Zones::new());
+        let usable = self.target(Scheme::default(), &all, &whole, self.cold_demand()).0;
         let mark = self.channel.next_mark();
-        let proxies: BTreeSet<ProxyId> = self.proxies.keys().copied().collect();
-        let every: Vec<ProxyId> = proxies.iter().copied().collect();
+        let every: Vec<ProxyId> = self.proxies.keys().copied().collect();
         for id in self.slices.keys().copied().collect::<Vec<_>>() {
             let fits = self.fits(orders, &every, 2.0, DRAINS);
             let Some(slice) = self.slices.get_mut(&id).filter(|_| fits) else { continue };
@@ -999,8 +1002,8 @@
                 // No effect twice: nobody owns the slice until no proxy can write to the former owner.
                 let not_before = now + self.settings.lease;
                 let handover = slice.get_or_insert_with(|| {
-                    orders.give(Action::Clear(id), proxies.iter().copied());
-                    Handover { waits_for: proxies.clone(), mark, not_before }
+                    orders.give(Action::Clear(id), every.iter().copied());
+                    Handover { waits_for: every.iter().copied().collect(), mark, not_before }
                 });
                 table.lines.clear();
                 if !handover.waits_for.is_empty() || now < handover.not_before + self.settings.settle {
@@ -1009,10 +1012,10 @@
                 *slice = None;
             }
             table.lines.insert(next, 1.0);
-            orders.give(Action::Line { table: id, server: next, weight: 1.0 }, proxies.iter().copied());
+            orders.give(Action::Line { table: id, server: next, weight: 1.0 }, every.iter().copied());
             for server in ending.into_iter().filter(|_| !self.settings.sole_owner) {
                 table.lines.remove(&server);
-                orders.give(Action::Line { table: id, server, weight: 0.0 }, proxies.iter().copied());
+                orders.give(Action::Line { table: id, server, weight: 0.0 }, every.iter().copied());
             }
         }
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -140,6 +140,10 @@
 }
 
 impl Proxy {
+    /// Whether it is on tables of this instance, of this deal or the one before.
+    pub fn holds(&self) -> bool {
+        !self.tables.is_empty()
+    }
     pub fn rate(&self) -> f64 {
         self.came.mean().unwrap_or(0.0)
     }
@@ -275,6 +279,8 @@
 /// The orders of one turn, what the message to each proxy costs, and all that waits in the channel with them.
 #[derive(Debug, Default)]
 pub(crate) struct Orders {
+    /// When.
+    pub at: Micros,
     pub actions: Vec<Action>,
     pub lines: BTreeMap<ProxyId, f64>,
     pub waiting: f64,
@@ -283,8 +289,8 @@
 
 impl Orders {
     /// Nothing yet, while so many lines wait and a message costs so many beside its own.
-    pub fn new(waiting: f64, head: f64) -> Self {
-        Orders { waiting, head, ..Orders::default() }
+    pub fn new(at: Micros, waiting: f64, head: f64) -> Self {
+        Orders { at, waiting, head, ..Orders::default() }
     }
     /// What so many lines more for each of these cost: one that gets no message yet gets one.
     pub fn cost<'a>(&self, to: impl IntoIterator<Item = &'a ProxyId>, lines: f64) -> f64 {
@@ -361,6 +367,19 @@
     quantile(further, 0.5).unwrap_or(0.0).max(0.0)
 }
 
+/// The servers by the part of the fleet that they are dealt to, and at last all of them.
+pub(crate) type Dealt = Vec<Vec<ServerId>>;
+
+/// Deals the servers into so many parts, by their places.
+pub(crate) fn dealt(servers: &BTreeMap<ServerId, Server>, parts: usize) -> Dealt {
+    let mut dealt = vec![Vec::new(); parts];
+    for (id, server) in servers.iter().filter(|_| parts > 0) {
+        dealt.get_mut(server.dealt % parts).into_iter().for_each(|part| part.push(*id));
+    }
+    dealt.push(servers.keys().copied().collect());
+    dealt
+}
+
 /// By zone, the share of its servers that answer no probe.
 pub(crate) fn mute<'a>(open: impl Iterator<Item = &'a Server>) -> Zones {
     let mut zones = BTreeMap::<ZoneId, Fading>::new();
--- a/crates/records/src/timeline.rs
+++ b/crates/records/src/timeline.rs
@@ -11,8 +11,8 @@
 use crate::pb::{record::Kind, Index, Record, Rollup};
 use crate::segment::{self, Item, SegmentId};
 
-/// Directories below a given one that are looked at for segments.
-const DIRECTORIES_MOST: usize = 256;
+/// Directories below a given one that are looked at for segments, one a supervisor: four times the largest fleet.
+const DIRECTORIES_MOST: usize = 4096;
 
 /// One record with its origin.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/supervisor/src/listener.rs
+++ b/crates/supervisor/src/listener.rs
@@ -21,8 +21,9 @@
 use crate::lines::{send, Lines};
 use crate::wire::{self, Hello, Message};
 
-/// Connections that the system holds until they are accepted: all proxies of a fleet may dial at once.
-const BACKLOG: u32 = 1024;
+/// The least connections that the system holds until they are accepted: all proxies of a fleet may dial at once, and
+/// as many strangers. It is a bound for the system, which reserves nothing.
+const BACKLOG_LEAST: usize = 1024;
 /// Longest first message, in bytes: `hello` with the longest names has a fraction of it.
 const FIRST_LINE_MOST: usize = 1024;
 /// Longest line from whoever has said who it is, in bytes: no message has a form that comes near it, and a thousand
@@ -101,12 +102,12 @@
     silence: Duration,
 }
 
-/// Binds the address.
-pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+/// Binds the address, for so many proxies.
+pub fn bind(address: SocketAddr, proxies: usize) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    socket.listen(u32::try_from((2 * proxies).max(BACKLOG_LEAST)).unwrap_or(u32::MAX))
 }
 
 /// Accepts connections, with so many descriptors in all and that limit on a proxy's silence, until the supervisor stops.
--- a/crates/supervisor/src/serve.rs
+++ b/crates/supervisor/src/serve.rs
@@ -66,7 +66,7 @@
     // Before all else: a signal that nobody handles ends the program.
     let signals = |kind| signal(kind).map_err(|fault| format!("no signals: {fault}"));
     let (mut terminate, replaced) = (signals(SignalKind::terminate())?, signals(SignalKind::hangup())?);
-    let listener = listener::bind(config.listen)
+    let listener = listener::bind(config.listen, config.settings.proxies)
         .map_err(|fault| format!("cannot listen at {}: {fault}", config.listen))?;
     let listen = listener.local_addr().map_err(|fault| format!("no address: {fault}"))?;
     let reports = config.settings.reports != ReportSource::None;
--- a/crates/supervisor/src/servers.rs
+++ b/crates/supervisor/src/servers.rs
@@ -23,8 +23,9 @@
 const BODY_MOST: usize = 16 * 1024;
 /// A server that took no connection and was not tried again for so long is gone: many times the pause between probes.
 const TRIED_WITHIN: Duration = Duration::from_secs(60);
-/// Probes under way at most; what is due beyond is answered as an ending that says nothing of the server.
-const UNDER_WAY_MOST: usize = 256;
+/// Probes under way at most, each a task made when it is due: the decisions ask a server once at a time, so that a list
+/// four times the largest fleet never has as many. What is due beyond is answered as an ending that says nothing of the server.
+const UNDER_WAY_MOST: usize = 4096;
 
 /// Asks servers how they are.
 pub struct Servers {
