Settings and lists that contradict themselves are told in a sentence; 1,024 of all under test

A backlog of 0, or smaller than one table or than one server shut out at all proxies, no pace, no proxies, a message limit of one: `chutegrade check` and a start say so, and serve. A delivery that names a server twice took the entries in an order of its own (zone, kind, number), so that an entry `up` could undo one `draining`; the last word on a server holds now, and the log counts the others.

--- a/crates/engine/src/engine/tests.rs
+++ b/crates/engine/src/engine/tests.rs
@@ -604,3 +604,49 @@
     engine.carry_out(Micros(40_000), vec![]);
     assert_eq!(engine.names.server("s2"), None);
 }
+
+/// As many servers and supervisors as anything here is made for: all proxies get tables, each server is in some, and one
+/// more of either is taken too.
+#[test]
+fn a_thousand_servers_and_a_thousand_supervisors_are_served() {
+    const MANY: u32 = 1024;
+    let settings = Settings {
+        instances: MANY as usize,
+        proxies: MANY as usize,
+        backlog: 60_000.0,
+        lines_per_s: 9_000.0,
+        drain_grace: Micros(2_000_000),
+        ..settings(CLASSES)
+    };
+    let names = |of: &str, n: usize| (0..n).map(|k| format!("{of}{k}")).collect::<Vec<_>>();
+    let mut engine = Engine::new(settings, 7, names("z", 2), names("c", CLASSES), names("k", 2));
+    assert_eq!(engine.report(Report::List(ListKind::WarmCopy, (0..MANY).map(listed).collect())), Ok(()));
+    let mut now = Micros(0);
+    engine.tick(now);
+    for proxy in 0..MANY {
+        assert_eq!(engine.report(joined(proxy.into(), proxy, true)), Ok(()));
+    }
+    let (mut holders, mut probes) = (BTreeMap::<StreamId, Holder>::new(), 0);
+    for _ in 0..100 {
+        now = now + Micros(100_000);
+        engine.tick(now);
+        for stream in engine.pick_streams() {
+            let order = engine.pick_order(stream).expect("an order");
+            holders.entry(stream).or_default().apply(&order, CLASSES);
+            let (mark, took) = (order.stamp.expect("a mark"), Micros(100_000));
+            assert_eq!(engine.report(Report::Ack { stream, mark, took }), Ok(()));
+        }
+        while let Some(probe) = engine.pick_probe() {
+            probes += 1;
+            let (end, took, load) = (ProbeEnd::Done, Micros(5000), Load::default());
+            assert_eq!(engine.report(Report::Probed { probe, end, took, load }), Ok(()));
+        }
+    }
+    assert_eq!(holders.len(), MANY as usize);
+    assert!(holders.values().all(|holder| (0..CLASSES).all(|class| !holder.picks(class).is_empty())));
+    let named: BTreeSet<String> = holders.values().flat_map(|holder| holder.picks(0).into_keys()).collect();
+    assert_eq!(named.len(), MANY as usize, "each server is in some table");
+    assert!(probes >= 8 * MANY, "each server is probed every second: {probes}");
+    assert_eq!(engine.fleet().servers.len(), MANY as usize);
+    assert_eq!(engine.report(joined(MANY.into(), MANY, true)), Err(Unknown::Proxy(MANY)));
+}
--- a/crates/records/tests/damage.rs
+++ b/crates/records/tests/damage.rs
@@ -351,3 +351,17 @@
         prop_assert!(verify(directory.path()).is_ok());
     }
 }
+
+/// A directory a supervisor, as many as a fleet may have: none is passed over, whatever the order the disk tells them in.
+#[test]
+fn the_records_of_a_thousand_supervisors_are_read_together() {
+    let directory = tempfile::tempdir().expect("a directory");
+    for supervisor in 0..1024 {
+        let name = format!("n{supervisor}");
+        write(&directory.path().join(&name), &name, &start(100, 1, &[]));
+    }
+    let timeline = Timeline::open(&[directory.path().to_path_buf()]).expect("records");
+    let names: std::collections::BTreeSet<&str> =
+        timeline.supervisors.iter().map(|supervisor| &*supervisor.name).collect();
+    assert_eq!((timeline.supervisors.len(), names.len()), (1024, 1024));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -215,6 +215,24 @@
     })
 }
 
+/// What the settings contradict or leave open, for a list of so many servers: a sentence each. The decisions go on all the
+/// same and keep the rules as far as they can be kept.
+pub fn doubts(settings: &Settings, servers: usize) -> Vec<String> {
+    let Settings { backlog, lines_per_s, message_head, proxies, messages_most, .. } = settings;
+    // A whole table by the protocol: head, mark and `replace`, a level for each class, each server and whether it is shut out.
+    let table = message_head + 2.0 + settings.classes.len() as f64 + 2.0 * servers as f64;
+    let drain = *proxies as f64 * (message_head + 2.0);
+    let said = [
+        (*backlog >= NO_LIMIT, "familyInfo.backlog names no limit: any number of lines may wait".to_string()),
+        (*lines_per_s >= NO_LIMIT, "familyInfo.linesPerS names no pace: the channel counts as never slow".to_string()),
+        (*backlog < table, format!("familyInfo.backlog is {backlog}, less than the {table} lines of one table of {servers} servers: such a table goes out alone and beyond it")),
+        (*backlog < drain, format!("familyInfo.backlog is {backlog}, less than the {drain} lines that shut one server out at {proxies} proxies: where they all come here it goes out alone and beyond it")),
+        (*proxies == 0, "familyInfo.proxies is 0: no proxy is let in".to_string()),
+        (*messages_most == 1, "familyInfo.messagesMost is 1: a drain may have to wait for a whole window".to_string()),
+    ];
+    said.into_iter().filter(|(so, _)| *so).map(|(_, sentence)| sentence).collect()
+}
+
 fn class_of(json: &Value, home_only: bool) -> Class {
     let num = |key: &str| json.get(key).and_then(Value::as_f64).unwrap_or(0.0);
     let word = |key: &str| json.get(key).and_then(Value::as_str).unwrap_or("");
@@ -300,6 +318,21 @@
         assert!(from_text("[]").is_err() && from_text("").is_err());
     }
 
+    #[test]
+    fn settings_that_contradict_themselves_are_told() {
+        let of = |backlog: f64, proxies: u32| {
+            serde_json::json!({"classes": [{"name": "read"}], "familyInfo": {"backlog": backlog, "linesPerS": 900,
+                "fixedCost": 3, "proxies": proxies}})
+        };
+        let said = |json: &Value, servers| doubts(&from_json(json).expect("settings"), servers).join("; ");
+        assert_eq!(said(&of(9000.0, 400), 40), "");
+        assert!(said(&of(0.0, 4), 40).contains("names no limit"));
+        assert!(said(&of(80.0, 4), 40).contains("less than the 86 lines of one table of 40 servers"));
+        assert!(said(&of(1000.0, 400), 40)
+            .contains("less than the 2000 lines that shut one server out at 400 proxies"));
+        assert!(said(&of(9000.0, 0), 40).contains("no proxy is let in"));
+    }
+
     #[test]
     fn both_forms_of_a_load_report_are_read() {
         let expected = Load { inflight: Some(7.0), util: Some(0.61), ..Load::default() };
--- a/crates/supervisor/src/config.rs
+++ b/crates/supervisor/src/config.rs
@@ -144,6 +144,22 @@
     }
 }
 
+impl Config {
+    /// What the settings contradict or leave open: a sentence each, for the log at a start and for `check`.
+    pub fn doubts(&self) -> Vec<String> {
+        let servers = match &self.known {
+            Some((_, Report::List(_, entries))) => entries.len(),
+            _ => 0,
+        };
+        chutegrade_settings::doubts(&self.settings, servers)
+    }
+}
+
+/// What a configuration contradicts or leaves open, though a start would take it.
+pub fn doubts(path: &str) -> Vec<String> {
+    load(path).and_then(|file| read(file, |_| None)).map(|config| config.doubts()).unwrap_or_default()
+}
+
 /// What is wrong with a configuration, as a start without an environment would find; JSON faults tell line and column.
 pub fn check(path: &str) -> Option<Fault> {
     load(path).and_then(|file| read(file, |_| None)).err()
--- a/crates/supervisor/src/list.rs
+++ b/crates/supervisor/src/list.rs
@@ -161,10 +161,13 @@
             tracing::warn!(%fault, "discovery told what can't be read");
             Ending::Unreadable
         })?;
-        let Targets { index, complete, entries, unreadable } = targets;
+        let Targets { index, complete, entries, unreadable, twice } = targets;
         if unreadable > 0 {
             tracing::warn!(unreadable, "entries of the list can't be read");
         }
+        if twice > 0 {
+            tracing::warn!(twice, "the list names servers twice, the last word on each holds");
+        }
         tracing::debug!(index, complete, entries = entries.len(), "list");
         if self.is_behind(index) {
             return Ok(());
--- a/crates/supervisor/src/serve.rs
+++ b/crates/supervisor/src/serve.rs
@@ -69,6 +69,9 @@
     let listener = listener::bind(config.listen, config.settings.proxies)
         .map_err(|fault| format!("cannot listen at {}: {fault}", config.listen))?;
     let listen = listener.local_addr().map_err(|fault| format!("no address: {fault}"))?;
+    for doubt in config.doubts() {
+        tracing::warn!(doubt, "the settings contradict themselves or leave this open");
+    }
     let reports = config.settings.reports != ReportSource::None;
     let on_request = config.settings.list_on_request;
     let silence = clients::silence(length(config.settings.report_period));
--- a/crates/supervisor/src/tools.rs
+++ b/crates/supervisor/src/tools.rs
@@ -28,6 +28,9 @@
     if let Some(path) = &check.config {
         let said = config::check(&path.to_string_lossy());
         faults.extend(said.map(|fault| format!("{}: {fault}", path.display())));
+        for doubt in config::doubts(&path.to_string_lossy()) {
+            writeln!(out, "{}: taken, but {doubt}", path.display())?;
+        }
     }
     if let Some(path) = &check.operator {
         let limits = match chutegrade_operator::load(path) {
--- a/crates/supervisor/src/wire.rs
+++ b/crates/supervisor/src/wire.rs
@@ -1,5 +1,6 @@
 //! Lines to typed values and orders to lines: each message is decoded once and encoded once.
 
+use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::rc::Rc;
 
@@ -289,6 +290,8 @@
     pub entries: Vec<Listed>,
     /// How many entries could not be read.
     pub unreadable: usize,
+    /// How many entries were passed over, since a later one names the same server.
+    pub twice: usize,
 }
 
 #[derive(Deserialize)]
@@ -333,9 +336,17 @@
 
 fn delivery(raw: RawTargets) -> Targets {
     let all = raw.endpoints.len();
-    let entries: Vec<Listed> = raw.endpoints.into_iter().filter_map(endpoint).collect();
+    let mut entries: Vec<Listed> = raw.endpoints.into_iter().filter_map(endpoint).collect();
     let unreadable = all - entries.len();
-    Targets { index: raw.index, complete: raw.snapshot && unreadable == 0, entries, unreadable }
+    // The last word on a server holds, whatever came before it.
+    let last: HashMap<String, usize> =
+        entries.iter().enumerate().map(|(at, entry)| (entry.name.clone(), at)).collect();
+    let twice = entries.len() - last.len();
+    if twice > 0 {
+        let mut at = 0..;
+        entries.retain(|entry| at.next() == last.get(&entry.name).copied());
+    }
+    Targets { index: raw.index, complete: raw.snapshot && unreadable == 0, entries, unreadable, twice }
 }
 
 fn endpoint(json: serde_json::Value) -> Option<Listed> {
@@ -558,6 +569,17 @@
         }
     }
 
+    /// Danger: a list that contradicts itself would let a server in that drains, by the order in which it is read.
+    #[test]
+    fn the_last_word_of_a_list_on_a_server_holds() {
+        let text = r#"{"index":2,"snapshot":true,"endpoints":[
+            {"name":"s-1","status":"up","zone":"b"},{"name":"s-2","status":"up"},{"name":"s-1","status":"draining","zone":"a"}]}"#;
+        let targets = targets(text).expect("a list");
+        let told: Vec<_> = targets.entries.iter().map(|entry| (entry.name.as_str(), entry.life)).collect();
+        assert_eq!(told, [("s-2", Lifecycle::InService), ("s-1", Lifecycle::Draining)]);
+        assert_eq!((targets.twice, targets.complete), (1, true));
+    }
+
     #[test]
     fn load_reports_of_probes_are_read() {
         let load = load_report("TEXT inflight=7, queue=2, util=0.61\n");
