Reread of the fleet work: lines given with their action, one reading for check, one tables of a proxy

Found on rereading, behaviour as it was: - a line that costs two was added in two steps beside `give`; the cost is now an argument of it, and each table's proxies are borrowed instead of copied once a turn and scheme; - that a name had been forgotten was kept in names and tables both; names tell it once, tables keep it, one pass over the digests; - `chutegrade check` read and parsed the configuration twice, for faults and for doubts; - the test of the short queue had a reader of orders of its own: it uses the stand-ins' now, which also refuses what the protocol does not allow.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -337,10 +337,9 @@
     }
 
     fn listed(&mut self, listed: &Listed) -> Entry {
-        let entry = self.names.listed(listed);
+        let (entry, returned) = self.names.listed(listed);
         self.notes.listed(entry.server, listed);
-        let known_before = self.going.remove(&entry.server) || self.names.has_returned(entry.server);
-        if known_before {
+        if self.going.remove(&entry.server) || returned {
             self.tables.returned(entry.server);
         }
         entry
@@ -508,7 +507,7 @@
     /// What waits to be written keeps its names, or a line that takes a server out would be lost.
     fn forget_the_gone(&mut self) {
         let (tables, streams) = (&mut self.tables, &mut self.streams);
-        let named = |server: &ServerId| tables.name(*server) || streams.name(*server);
+        let named = |server: &ServerId| tables.mention(*server) || streams.mention(*server);
         let (kept, gone): (BTreeSet<_>, BTreeSet<_>) =
             std::mem::take(&mut self.going).into_iter().partition(named);
         self.going = kept;
--- a/crates/engine/src/names.rs
+++ b/crates/engine/src/names.rs
@@ -32,8 +32,6 @@
 struct Known {
     name: Rc<str>,
     address: String,
-    /// Its name was forgotten before: proxies may know it still, as one that is shut out.
-    returned: bool,
 }
 
 /// Names that were forgotten and are told from new ones, by eight bytes each: several times the servers of the largest
@@ -91,11 +89,6 @@
         self.servers.get(&server).map(|known| known.address.as_str())
     }
 
-    /// Whether proxies may know the server from before its name was forgotten.
-    pub fn has_returned(&self, server: ServerId) -> bool {
-        self.servers.get(&server).is_some_and(|known| known.returned)
-    }
-
     /// Nothing names the server any more. Its number is not used again.
     pub fn forget(&mut self, server: ServerId) {
         let Some(known) = self.servers.remove(&server) else { return };
@@ -106,13 +99,15 @@
         self.forgotten.push_back(digest(&known.name));
     }
 
-    /// The entry as the decisions know it; a zone or kind that the settings do not name gets a further number.
-    pub fn listed(&mut self, listed: &Listed) -> Entry {
-        let server = self.server(&listed.name).unwrap_or_else(|| self.intern(&listed.name));
+    /// The entry as the decisions know it; a zone or kind that the settings do not name gets a further number. And whether
+    /// its name had been forgotten: proxies may know it still, as one that is shut out.
+    pub fn listed(&mut self, listed: &Listed) -> (Entry, bool) {
+        let known = self.server(&listed.name).map(|server| (server, false));
+        let (server, returned) = known.unwrap_or_else(|| self.intern(&listed.name));
         if let Some(known) = self.servers.get_mut(&server).filter(|_| !listed.address.is_empty()) {
             known.address.clone_from(&listed.address);
         }
-        Entry {
+        let entry = Entry {
             server,
             zone: ZoneId(position(&mut self.zones, &listed.zone) as u16),
             kind: position(&mut self.kinds, &listed.kind) as u32,
@@ -120,18 +115,20 @@
             life: listed.life,
             weight: listed.weight,
             started: listed.started,
-        }
+        };
+        (entry, returned)
     }
 
-    fn intern(&mut self, name: &str) -> ServerId {
-        let (id, digest) = (ServerId(self.next), digest(name));
+    /// A number for a new name, and whether that had been forgotten.
+    fn intern(&mut self, name: &str) -> (ServerId, bool) {
+        let (id, digest, forgotten) = (ServerId(self.next), digest(name), self.forgotten.len());
         self.next += 1;
-        let returned = self.forgotten.contains(&digest);
         self.forgotten.retain(|of| *of != digest);
+        let returned = self.forgotten.len() < forgotten;
         let name: Rc<str> = Rc::from(name);
         self.by_name.insert(Rc::clone(&name), id);
-        self.servers.insert(id, Known { name, address: String::new(), returned });
-        id
+        self.servers.insert(id, Known { name, address: String::new() });
+        (id, returned)
     }
 }
 
--- a/crates/engine/src/order.rs
+++ b/crates/engine/src/order.rs
@@ -102,7 +102,8 @@
         std::mem::take(&mut self.touched)
     }
 
-    pub fn names(&self, server: ServerId) -> bool {
+    /// Whether what waits names the server.
+    pub fn mentions(&self, server: ServerId) -> bool {
         let rows = self.classes.values().any(|pending| pending.rows.contains_key(&server));
         rows || self.withdrawn.contains_key(&server)
     }
--- a/crates/engine/src/streams.rs
+++ b/crates/engine/src/streams.rs
@@ -197,8 +197,8 @@
     }
 
     /// Whether anything that waits to be written names the server.
-    pub fn name(&self, server: ServerId) -> bool {
-        self.proxies.values().any(|joined| joined.draft.names(server))
+    pub fn mention(&self, server: ServerId) -> bool {
+        self.proxies.values().any(|joined| joined.draft.mentions(server))
     }
 
     pub fn forget(&mut self, server: ServerId) {
--- a/crates/engine/src/tables.rs
+++ b/crates/engine/src/tables.rs
@@ -92,7 +92,8 @@
         self.returned.contains(&server)
     }
 
-    pub fn name(&self, server: ServerId) -> bool {
+    /// Whether any table has a line of the server.
+    pub fn mention(&self, server: ServerId) -> bool {
         self.tables.values().any(|table| table.lines.contains_key(&server))
     }
 
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -811,7 +811,7 @@
                 if out { self.fits(orders, &holders, 1.0, DRAINS) } else { !self.tables.keys().any(names) };
             if fits {
                 self.servers.entry(id).and_modify(|server| server.shut = out);
-                orders.give(Action::Withdraw { server: id, out }, holders);
+                orders.give(Action::Withdraw { server: id, out }, &holders, 1.0);
             }
         }
     }
@@ -851,7 +851,7 @@
             // A cold server that only its own zone's tables name meets no more than that zone's traffic.
             let traffic = comes.get(&scheme.zone).copied().filter(|_| self.alone());
             let cold = (demand * traffic.unwrap_or(1.0).max(0.5 / comes.len().max(1) as f64), out);
-            let users = on.get(&(scheme.zone, scheme.part)).cloned().unwrap_or_default();
+            let users = on.get(&(scheme.zone, scheme.part)).map_or(&[][..], Vec::as_slice);
             let (target, void) = self.target(scheme, &dealt, lean, cold);
             let rates = users.iter().filter_map(|id| Some(self.proxies.get(id)?.rate()));
             let rate = rates.sum::<f64>() / users.len().max(1) as f64;
@@ -863,11 +863,11 @@
             let levels = if scheme.part == self.parts { &levels.1 } else { &levels.0 };
             for (k, &(level, retry)) in levels.iter().enumerate().filter(|(k, _)| scheme.classes.has(*k)) {
                 let known = self.tables.get(&scheme.table).and_then(|table| table.levels.get(&k));
-                if known != Some(&(level, retry)) && self.fits(orders, &users, 1.0, LEVELS) {
+                if known != Some(&(level, retry)) && self.fits(orders, users, 1.0, LEVELS) {
                     self.tables.entry(scheme.table).or_default().levels.insert(k, (level, retry));
                     let (table, classes) = (Some(scheme.table), ClassSet::default().with(k));
                     let order = Action::Admit { table, classes, level, retry };
-                    orders.give(order, users.iter().copied());
+                    orders.give(order, users, 1.0);
                 }
             }
             tables.insert(scheme.table, users);
@@ -877,13 +877,13 @@
         let heads = self.proxies.len() as f64 * (self.settings.message_head + 1.0);
         let every = UPDATE_EVERY.secs().max(heads / HEADS_SHARE / self.channel.pace);
         let due = self.updated.is_none_or(|at| (now - at).secs() >= every);
-        for Change { scheme: Scheme { table, .. }, server, weight, guard, anew, .. } in changes {
-            let Some(users) = tables.get(&table) else { continue };
+        for Change { scheme: Scheme { table, .. }, server, weight, guard, lines, .. } in changes {
+            let Some(&users) = tables.get(&table) else { continue };
             if !users.is_empty() {
                 // What rides on a message already due costs none: else refusals and guards use up the limit.
                 let rides = users.iter().all(|user| orders.lines.contains_key(user));
-                let ordinary = (due || rides) && self.fits(orders, users, anew, ORDINARY);
-                if !(ordinary || (guard && self.fits(orders, users, anew, GUARDS))) {
+                let ordinary = (due || rides) && self.fits(orders, users, lines, ORDINARY);
+                if !(ordinary || (guard && self.fits(orders, users, lines, GUARDS))) {
                     continue;
                 }
                 self.updated = if guard || rides { self.updated } else { Some(now) };
@@ -891,8 +891,7 @@
             let known = self.tables.entry(table).or_default();
             known.lines.insert(server, weight);
             known.lines.retain(|_, weight| *weight > 0.0);
-            users.iter().for_each(|user| orders.add(*user, anew - 1.0));
-            orders.give(Action::Line { table, server, weight }, users.iter().copied());
+            orders.give(Action::Line { table, server, weight }, users, lines);
         }
     }
 
@@ -920,8 +919,8 @@
                 let moved = (weight - old).abs().max(whole);
                 let size = if known.is_some_and(Server::open) { rate * moved / (total * scale) } else { 0.0 };
                 // One that is named anew may have to be let back. Danger: uncounted lines.
-                let anew = if old <= 0.0 { 2.0 } else { 1.0 };
-                changes.push(Change { scheme, server, weight, guard, size, anew });
+                let lines = if old <= 0.0 { 2.0 } else { 1.0 };
+                changes.push(Change { scheme, server, weight, guard, size, lines });
             }
         }
     }
@@ -1002,7 +1001,7 @@
                 // No effect twice: nobody owns the slice until no proxy can write to the former owner.
                 let not_before = now + self.settings.lease;
                 let handover = slice.get_or_insert_with(|| {
-                    orders.give(Action::Clear(id), every.iter().copied());
+                    orders.give(Action::Clear(id), &every, 1.0);
                     Handover { waits_for: every.iter().copied().collect(), mark, not_before }
                 });
                 table.lines.clear();
@@ -1012,10 +1011,10 @@
                 *slice = None;
             }
             table.lines.insert(next, 1.0);
-            orders.give(Action::Line { table: id, server: next, weight: 1.0 }, every.iter().copied());
+            orders.give(Action::Line { table: id, server: next, weight: 1.0 }, &every, 1.0);
             for server in ending.into_iter().filter(|_| !self.settings.sole_owner) {
                 table.lines.remove(&server);
-                orders.give(Action::Line { table: id, server, weight: 0.0 }, every.iter().copied());
+                orders.give(Action::Line { table: id, server, weight: 0.0 }, &every, 1.0);
             }
         }
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -269,8 +269,8 @@
     pub weight: f64,
     pub guard: bool,
     pub size: f64,
-    /// What it costs at each proxy, in lines.
-    pub anew: f64,
+    /// What it costs at each proxy.
+    pub lines: f64,
 }
 
 /// What a kind of order may fill: shares of the backlog, of the message limit, of the drains' grace.
@@ -302,9 +302,10 @@
         *self.lines.entry(to).or_default() += cost;
         self.waiting += cost;
     }
-    pub fn give(&mut self, action: Action, to: impl IntoIterator<Item = ProxyId>) {
+    /// An action that costs so many lines at each of these.
+    pub fn give(&mut self, action: Action, to: &[ProxyId], lines: f64) {
         self.actions.push(action);
-        to.into_iter().for_each(|proxy| self.add(proxy, 1.0));
+        to.iter().for_each(|proxy| self.add(*proxy, lines));
     }
 }
 
--- a/crates/supervisor/src/config.rs
+++ b/crates/supervisor/src/config.rs
@@ -155,14 +155,10 @@
     }
 }
 
-/// What a configuration contradicts or leaves open, though a start would take it.
-pub fn doubts(path: &str) -> Vec<String> {
-    load(path).and_then(|file| read(file, |_| None)).map(|config| config.doubts()).unwrap_or_default()
-}
-
-/// What is wrong with a configuration, as a start without an environment would find; JSON faults tell line and column.
-pub fn check(path: &str) -> Option<Fault> {
-    load(path).and_then(|file| read(file, |_| None)).err()
+/// What is wrong with a configuration, as a start without an environment would find; JSON faults tell line and column. Or
+/// else what it contradicts or leaves open.
+pub fn check(path: &str) -> Result<Vec<String>, Fault> {
+    load(path).and_then(|file| read(file, |_| None)).map(|config| config.doubts())
 }
 
 /// The classes that a configuration holds, as limits need them.
--- a/crates/supervisor/src/listener.rs
+++ b/crates/supervisor/src/listener.rs
@@ -107,7 +107,7 @@
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(u32::try_from((2 * proxies).max(BACKLOG_LEAST)).unwrap_or(u32::MAX))
+    socket.listen(u32::try_from(proxies.saturating_mul(2).max(BACKLOG_LEAST)).unwrap_or(u32::MAX))
 }
 
 /// Accepts connections, with so many descriptors in all and that limit on a proxy's silence, until the supervisor stops.
--- a/crates/supervisor/src/short_queue.rs
+++ b/crates/supervisor/src/short_queue.rs
@@ -1,9 +1,10 @@
 //! The rules on sockets, judged from the bytes alone: random settings and storms drive the engine, its orders are encoded
 //! as they would be written, and an account of the channel is kept from the text, independent of the module's own.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use chutegrade_engine::{Engine, Lifecycle, ListKind, Listed, Load, Micros, ProbeEnd, Report, StreamId};
+use chutegrade_standins::tables::{Tables, CLASSES};
 use proptest::prelude::*;
 use serde_json::json;
 
@@ -68,47 +69,10 @@
     joined: Micros,
     /// When it last had something to pick of each class.
     served: Micros,
-    rows: BTreeMap<String, BTreeSet<String>>,
-    dropped: BTreeSet<String>,
+    tables: Tables,
     written: VecDeque<Micros>,
 }
 
-impl Holder {
-    /// Applies a message; the mark to answer.
-    fn apply(&mut self, text: &str, classes: &[&str]) -> Option<u16> {
-        let mut stamp = None;
-        for line in text.split_terminator("\r\n") {
-            let word =
-                |name: &str| line.split(' ').find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
-            let list = |name| word(name).into_iter().flat_map(|all| all.split(',')).collect::<Vec<_>>();
-            let of = word("for").map_or(classes.to_vec(), |of| of.split('+').collect());
-            for class in of {
-                let rows = self.rows.entry(class.to_string()).or_default();
-                if word("replace").is_some() {
-                    rows.clear();
-                }
-                for (server, weight) in list("rows").iter().filter_map(|row| row.split_once(':')) {
-                    if weight.parse::<f64>().expect("a weight") > 0.0 {
-                        rows.insert(server.to_string());
-                    } else {
-                        rows.remove(server);
-                    }
-                }
-            }
-            self.dropped.extend(list("drop").into_iter().map(str::to_string));
-            for server in list("undrop") {
-                self.dropped.remove(server);
-            }
-            stamp = word("stamp").map(|stamp| stamp.parse().expect("a mark")).or(stamp);
-        }
-        stamp
-    }
-
-    fn picks(&self, class: &str) -> impl Iterator<Item = &String> {
-        self.rows.get(class).into_iter().flatten().filter(|server| !self.dropped.contains(*server))
-    }
-}
-
 /// Lines of a message by the protocol: every line, server shut out or let back, level, mark and `replace`, and the head.
 fn lines(text: &str, head: u32) -> f64 {
     let word = |word: &str| match word.split_once('=') {
@@ -119,8 +83,6 @@
     text.split([' ', '\r', '\n']).map(word).sum::<usize>() as f64 + f64::from(head)
 }
 
-const CLASSES: [&str; 3] = ["read", "file", "order"];
-
 struct World {
     weather: Weather,
     engine: Engine,
@@ -337,7 +299,12 @@
             if holder.stream != Some(message.stream) {
                 continue;
             }
-            let stamp = holder.apply(&message.text, &CLASSES);
+            let marks = message
+                .text
+                .split_terminator("\r\n")
+                .map(|line| holder.tables.apply(line).expect("an order"));
+            let stamp =
+                marks.fold(None, |known, mark| mark.or(known)).map(|mark| mark.parse().expect("a mark"));
             let lost = self.draw(1000) < (1000.0 * self.weather.lost) as u64;
             if let Some(stamp) = stamp.filter(|_| !lost) {
                 self.receipts.push_back((now + self.way, message.stream, stamp));
@@ -357,7 +324,7 @@
             self.report(Report::Outcomes { zone, server, tries, failed, mean_ms, period, load });
         }
         for proxy in 0..self.weather.proxies {
-            let (class, came) = ("read".to_string(), 6.0);
+            let (class, came) = (CLASSES[0].to_string(), 6.0);
             self.report(Report::Demand { proxy, class, came, failed: 0.0, period: Micros(1_000_000) });
         }
     }
@@ -409,12 +376,12 @@
             .min();
         for (id, holder) in self.holders.iter().enumerate().filter(|(_, holder)| holder.stream.is_some()) {
             for class in CLASSES {
-                for server in holder.picks(class) {
+                for server in holder.tables.picks(class) {
                     let (life, _, told) = self.servers[server];
                     let kept = life == Lifecycle::InService || since(holder, told) <= stretch(self.grace);
                     prop_assert!(kept, "{id} picks {server}, {life:?} for {:?}", since(holder, told));
                 }
-                if holder.picks(class).next().is_none() {
+                if holder.tables.picks(class).is_empty() {
                     let bare = warm.map_or(Micros(0), |warm| since(holder, warm.max(holder.served)));
                     prop_assert!(bare <= stretch(Micros(5_000_000)), "{id} has had nothing for {bare:?}");
                 }
@@ -444,7 +411,7 @@
             if rules_of_time && step % 10 == 0 {
                 self.judge_holders()?;
                 let served =
-                    |holder: &&mut Holder| CLASSES.iter().all(|class| holder.picks(class).next().is_some());
+                    |holder: &&mut Holder| CLASSES.iter().all(|class| !holder.tables.picks(class).is_empty());
                 let now = self.now;
                 self.holders.iter_mut().filter(served).for_each(|holder| holder.served = now);
             }
--- a/crates/supervisor/src/tools.rs
+++ b/crates/supervisor/src/tools.rs
@@ -26,10 +26,13 @@
         ));
     }
     if let Some(path) = &check.config {
-        let said = config::check(&path.to_string_lossy());
-        faults.extend(said.map(|fault| format!("{}: {fault}", path.display())));
-        for doubt in config::doubts(&path.to_string_lossy()) {
-            writeln!(out, "{}: taken, but {doubt}", path.display())?;
+        match config::check(&path.to_string_lossy()) {
+            Ok(doubts) => {
+                for doubt in doubts {
+                    writeln!(out, "{}: taken, but {doubt}", path.display())?;
+                }
+            }
+            Err(fault) => faults.push(format!("{}: {fault}", path.display())),
         }
     }
     if let Some(path) = &check.operator {
