A mark is due once the channel has brought it: quiet streams are not ended before their table

Followed proxy 1966: n3 16.137 connection ended peer="proxy" name=1966@room-c ms=4116 reason=stopping n2 28.502 connection ended peer="proxy" name=1966@room-c ms=10001 reason=silent It joined n2 at 18.50 with n3's tables, which name s-, gone for long; n2 has so little to tell that it was bound at 26.87 and its table lay in the channel behind some ten seconds of others. Ruled out: a lost withdrawal (n2 started after the server was gone and can't name it; only a whole table helps). At fault: clients.rs, Expected: any unanswered mark made ten quiet report periods a silence, however long the mark waited. Change: a mark is late only ten periods and the channel's present wait (lines by pace, the decisions' own account) after it was written. The log says which silence it was. Test on loopback: linesPerS=1, a quiet proxy keeps its stream (ended before).

--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -694,6 +694,8 @@
 pub struct Figures {
     /** Lines waiting in the channel. */
     pub waiting: f64,
+    /** How long they take, at the channel's present pace. */
+    pub wait: Micros,
     /** Share of requests refused. */
     pub refused: f64,
     /** The smoothed saturation. */
--- a/crates/policy/src/policy/view.rs
+++ b/crates/policy/src/policy/view.rs
@@ -31,6 +31,7 @@
         });
         Figures {
             waiting: self.channel.waiting(),
+            wait: Micros::from_ms(1000.0 * self.channel.waiting() / self.channel.pace.max(f64::MIN_POSITIVE)),
             refused: self.admission.refused,
             strain: self.admission.strain,
             warm: self
--- a/crates/supervisor/src/clients.rs
+++ b/crates/supervisor/src/clients.rs
@@ -25,8 +25,17 @@
 struct Expected {
     /// It has brought usage before, which comes every period.
     usage: Cell<bool>,
-    /// A mark was written that it has not answered.
-    answer: Cell<bool>,
+    /// When a mark was written, if it has answered none since.
+    answer: Cell<Option<Micros>>,
+}
+
+impl Expected {
+    /// Whether a mark should have been answered by now: it reaches the proxy after all that waits in the channel. Danger: one
+    /// with little to do, whose table waits behind those of many others, would lose its stream before it had any.
+    fn answer_is_late(&self, hub: &Hub, silence: Duration) -> bool {
+        let due = micros(silence) + hub.engine().figures().wait;
+        self.answer.get().is_some_and(|written| hub.clock.now() - written >= due)
+    }
 }
 
 /// How long a proxy that is due to say something may be quiet.
@@ -97,14 +106,17 @@
     let mut run = Run::default();
     loop {
         let Ok(message) = timeout(silence, lines.message()).await else {
-            if expected.usage.get() || expected.answer.get() {
-                return Err(Ending::Silent.into());
+            if expected.usage.get() {
+                return Err(Ending::Silent.because("no usage"));
+            }
+            if expected.answer_is_late(hub, silence) {
+                return Err(Ending::Silent.because("no answer to a mark"));
             }
             continue;
         };
         let fault = match message? {
             Message::Ack { id: by, seq, ms } if by == id => {
-                expected.answer.set(false);
+                expected.answer.set(None);
                 hub.report(Report::Ack { stream, mark: seq, took: ms });
                 None
             }
@@ -141,7 +153,8 @@
             let order = hub.engine().pick_order(stream);
             let Some(order) = order else { break };
             let text = wire::order(&order);
-            expected.answer.set(expected.answer.get() || order.stamp.is_some());
+            let written = order.stamp.map(|_| hub.clock.now());
+            expected.answer.set(expected.answer.get().or(written));
             send(write, text.as_bytes()).await?;
         }
     }
