First tables carry only what left here; the rest of what a proxy brought waits for room

A trace of the account in n2 (started 14.88, 3,500 lines/s, grace 18.2 s): 'wait=34716 n=417 unbound=159' at 18.9, 'unbound=62' at 30.9, none at 34.9, with some 10 s of lines ahead each time. 455 joins at 145 lines each (two tables, each server's line and its being let back) are 66,000 lines, 18.9 s: longer than the grace, though nothing else was sent. Ruled out: other orders in the way (joins took all that the channel sent), a slow channel (pace 3,500 of 3,500). At fault: policy.rs bind_joined and streams.rs names: with its first table a proxy that brought withdrawals was told of each server of that table whether it is shut out, for the rare case that another supervisor saw it leave and this one did not. Change: the first table carries what was seen to leave here; for the rest there is an order of its own, Reconcile, which goes last, as ordinary lines do, and is counted line by line. Joins cost half.

--- a/crates/adapter/src/codec.rs
+++ b/crates/adapter/src/codec.rs
@@ -263,8 +263,8 @@
             let contents = if data.is_empty() { "-".to_string() } else { STANDARD.encode(data) };
             format!("notify\trecipient={to}\tcontents={contents}")
         }
-        Action::Forget(server) => {
-            return Err(Fault::Action(format!("nothing is said of forgetting {}", server.0)))
+        Action::Forget(_) | Action::Reconcile(_) => {
+            return Err(Fault::Action(format!("nothing is said of {action:?}")))
         }
         Action::Note(note) => {
             let told =
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -122,8 +122,9 @@
             if !actions.is_empty() {
                 reply.push_str(&format!("source\tsupervisor={id}\n"));
             }
-            // The wire keeps every server known: nothing is said of those that are forgotten.
-            for action in actions.into_iter().filter(|action| !matches!(action, Action::Forget(_))) {
+            // The wire keeps every server known, and its proxies bring no withdrawals: nothing is said of either.
+            let unsaid = |action: &Action| matches!(action, Action::Forget(_) | Action::Reconcile(_));
+            for action in actions.into_iter().filter(|action| !unsaid(action)) {
                 match codec::write(&action) {
                     Ok(line) => {
                         reply.push_str(&line);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -487,6 +487,7 @@
                 Action::Forget(server) => {
                     self.going.insert(*server);
                 }
+                Action::Reconcile(_) => sent.withdrawals += 1,
                 // The protocol has no way between instances, and the decisions do not ask for one.
                 Action::Tell { .. } => {}
             }
--- a/crates/engine/src/streams.rs
+++ b/crates/engine/src/streams.rs
@@ -14,6 +14,8 @@
     pub stream: StreamId,
     /// It holds tables from before, and withdrawals that may be another supervisor's.
     brought: bool,
+    /// It was told of each server that its tables name whether it is shut out.
+    reconciled: bool,
     tables: BTreeMap<usize, TableId>,
     told: BTreeMap<ServerId, bool>,
     draft: Draft,
@@ -24,11 +26,13 @@
         self.tables.iter().filter(|(_, own)| **own == table).map(|(class, _)| *class).collect()
     }
 
-    /// The proxy must know of a server that its tables name whether it is shut out: withdrawals stay with a
-    /// proxy across streams, so what it brings is put right with the first line that names the server.
+    /// The proxy must know of a server that its tables name whether it is shut out: withdrawals stay with a proxy across
+    /// streams, so what it brings is put right with the first line that names a server that left here, and of all others
+    /// once that is ordered.
     fn names(&mut self, server: ServerId, all: &Tables) {
         let out = all.is_withdrawn(server);
-        let unknown = self.brought || all.has_returned(server);
+        let unsure = self.brought && (self.reconciled || all.has_left(server));
+        let unknown = unsure || all.has_returned(server);
         let known = self.told.get(&server).copied().or((!unknown).then_some(false));
         if known != Some(out) {
             self.told.insert(server, out);
@@ -58,6 +62,16 @@
         }
     }
 
+    fn reconcile(&mut self, all: &Tables) {
+        self.reconciled = true;
+        let tables: BTreeSet<TableId> = self.tables.values().copied().collect();
+        for server in
+            tables.into_iter().filter_map(|table| all.get(table)).flat_map(|table| table.lines.keys())
+        {
+            self.names(*server, all);
+        }
+    }
+
     fn clear(&mut self, table: TableId, all: &Tables) {
         for class in self.on(table) {
             self.draft.replace(class, &BTreeMap::new(), all.level(None, class));
@@ -109,6 +123,7 @@
         let joined = Joined {
             stream,
             brought,
+            reconciled: false,
             tables: BTreeMap::new(),
             told: BTreeMap::new(),
             draft: Draft::default(),
@@ -157,6 +172,12 @@
             Action::Bind { proxy, table, classes } => {
                 self.bind(*proxy, *table, &all.positions(*classes), all);
             }
+            Action::Reconcile(proxy) => {
+                if let Some(joined) = self.proxies.get_mut(proxy) {
+                    joined.reconcile(all);
+                    self.touched.insert(*proxy);
+                }
+            }
             Action::Withdraw { server, out } => return self.withdraw(*server, *out, all),
             Action::Admit { table, classes, .. } => {
                 for class in all.positions(*classes) {
--- a/crates/engine/src/tables.rs
+++ b/crates/engine/src/tables.rs
@@ -21,6 +21,8 @@
     withdrawn: BTreeSet<ServerId>,
     /// Servers that proxies may know from before, as shut out.
     returned: BTreeSet<ServerId>,
+    /// Servers that were ever shut out here: proxies of another supervisor may hold them so.
+    left: BTreeSet<ServerId>,
     classes: usize,
 }
 
@@ -77,6 +79,7 @@
     /// Shuts a server out or lets it back; whether that is news.
     pub fn withdraw(&mut self, server: ServerId, out: bool) -> bool {
         if out {
+            self.left.insert(server);
             self.withdrawn.insert(server)
         } else {
             self.withdrawn.remove(&server)
@@ -92,6 +95,10 @@
         self.returned.contains(&server)
     }
 
+    pub fn has_left(&self, server: ServerId) -> bool {
+        self.left.contains(&server)
+    }
+
     /// Whether any table has a line of the server.
     pub fn mention(&self, server: ServerId) -> bool {
         self.tables.values().any(|table| table.lines.contains_key(&server))
@@ -100,6 +107,7 @@
     pub fn forget(&mut self, server: ServerId) {
         self.withdrawn.remove(&server);
         self.returned.remove(&server);
+        self.left.remove(&server);
     }
 
     pub fn is_withdrawn(&self, server: ServerId) -> bool {
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -561,6 +561,9 @@
         /** The payload. */
         data: Vec<u8>,
     },
+    /// Tells a joined proxy of each server that its tables name whether it is shut out: it may hold another instance's
+    /// withdrawals. With its first table it is told of those alone that were seen to leave here.
+    Reconcile(ProxyId),
     /// A server is long gone and no table names it: nothing need be kept of it. It may be listed again, as a new one.
     Forget(ServerId),
     /// Something to tell; nothing follows from it.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -92,8 +92,8 @@
 const NARROW_FROM: (f64, Micros) = (0.3, Micros(30_000_000));
 /// To so many proxies, and at least so many servers, each.
 const NARROW_TO: (f64, f64) = (2.0, 5.0);
-/// What each kind of order may fill, first ones first: shares of the backlog, of the message limit, and of what
-/// the channel sends in the drains' grace, beyond the way. Danger: a drain behind a long queue comes too late.
+/// What each kind of order may fill, first ones first: shares of the backlog, of the message limit, and of
+/// what the channel sends in the drains' grace, beyond the way. Danger: drains behind a long queue are late.
 const DRAINS: Fill = (0.9, 1.0, f64::INFINITY);
 const GUARDS: Fill = (0.8, 0.8, 0.5);
 const JOINS: Fill = (0.65, 0.8, 0.5);
@@ -357,7 +357,7 @@
                 }
                 Some(known) => known.entry = *entry,
                 None => {
-                    // One that was forgotten may still be shut out by name, or is listed only now that it leaves.
+                    // One that was forgotten may be shut out by name, or is listed only now that it leaves.
                     let shut = !first && entry.life == Lifecycle::InService;
                     let new = Server { shut, dealt: self.dealt, ..Server::new(*entry, first && !cold) };
                     self.servers.insert(entry.server, new);
@@ -434,10 +434,9 @@
     }
 
     /// By zone of the proxies and of the servers: the usual share of failed tries and time. What strikes all
-    /// servers alike - a stalled proxy, zone or supervisor, an overload - blames none. The way between two
-    /// zones has a score like a server's, by what its servers lack against what is met there or else at home.
-    /// Danger: a slow link costs healthy servers their weight; while it lasts they are judged by each other.
-    /// Probes tell of a zone cut off before tries on its way time out: such a way has no score at once.
+    /// alike, as a stalled proxy or an overload, blames none. A way between two zones has a score like a
+    /// server's, by what its servers lack against what is met there or at home. Danger: a slow link costs
+    /// healthy servers their weight. A zone that probes show cut off has a way without score at once.
     fn references(&mut self) -> References {
         let seen = |f: Fading| (f.weight >= 1.0).then(|| f.sum / f.weight);
         let of = |from: ZoneId, f: fn(&Evidence) -> Fading| move |s: &Server| seen(f(s.heard.get(&from)?));
@@ -570,8 +569,7 @@
     }
 
     /// By zone of the servers: the factor on their weights in a zone's table, by the way there. Where it
-    /// leans, what the zone's own can do stays at home, the rest goes where others have more than comes to
-    /// them.
+    /// leans, what its own can do stays at home, the rest goes where others have more than comes to them.
     fn lean(&self, zone: ZoneId, can: &Zones, comes: &Zones) -> Zones {
         let link = |to: ZoneId| {
             let score = self.links.get(&(zone, to)).map_or(1.0, |score| score / RESTORE_ABOVE);
@@ -730,12 +728,11 @@
         let (stated, pace) = (self.settings.lines_per_s, self.channel.pace);
         let late = self.settings.way_most + TICK;
         let seen = |took| if took > late { smooth(pace, gone) } else { pace * PACE.1 };
-        let seen = self.channel.quickest.take().map_or(pace, seen);
-        self.channel.pace = seen.clamp(PACE.0 * stated, stated);
+        self.channel.pace = self.channel.quickest.take().map_or(pace, seen).clamp(PACE.0 * stated, stated);
     }
 
-    /// The one account of the channel, which every order asks: whether so many lines for each of these fit what
-    /// their kind may fill, with all that waits. Drains, guards and joins go when nothing waits, however large.
+    /// The one account of the channel, which every order asks: whether so many lines for each of these fit
+    /// what their kind may fill, with all that waits. Drains, guards and joins go when nothing waits at all.
     fn fits(&self, orders: &Orders, to: &[ProxyId], lines: f64, kind: Fill) -> bool {
         let urgent = kind.0 > LEVELS.0;
         let pace = if urgent { self.settings.lines_per_s } else { self.channel.pace };
@@ -747,9 +744,8 @@
         to.is_empty() || room
     }
 
-    /// Deals the fleet into parts, each with its own tables, where naming all would leave a usual proxy
-    /// without open connections to most. Danger: each request pays for a connection, each change for a line
-    /// at every proxy. Far narrower parts while tries fail though servers idle.
+    /// Deals the fleet into parts, each with its own tables, where a usual proxy keeps no connections to all.
+    /// Danger: each request pays for one, each change for lines. Narrower while tries fail at idle servers.
     fn split(&mut self, now: Micros, orders: &mut Orders) {
         let (joined, servers) = (self.proxies.len() as f64, self.open().count() as f64);
         let usual = self.settings.proxies as f64 / (2 * self.settings.instances.max(1)) as f64;
@@ -909,11 +905,9 @@
             let weight = target.get(&server).copied().unwrap_or(0.0) * scale;
             let known = self.servers.get(&server);
             // Only the rules' lines have precedence: else failing servers crowd out those that recovered.
-            let cold = known.is_some_and(|server| server.warmth < 1.0) && weight < old;
-            let guard = cold || sent.is_empty();
+            let guard = sent.is_empty() || (weight < old && known.is_some_and(|server| server.warmth < 1.0));
             if (weight - old).abs() > RESEND_SHARE * old {
-                // Traffic moved for each line it costs; one not named yet counts whole: else a grown fleet
-                // idles.
+                // Traffic moved for each line; one not named yet counts whole: else a grown fleet idles.
                 let home = |server: &&Server| scheme.zone == server.entry.zone;
                 let whole = known.filter(|_| old <= 0.0).filter(home).map_or(0.0, Server::size) * scale;
                 let moved = (weight - old).abs().max(whole);
@@ -925,8 +919,7 @@
         }
     }
 
-    /// Puts joined proxies on their tables, those with most traffic first, each on the part with most room,
-    /// as many as the channel takes now. A proxy whose part bears far more than another moves there.
+    /// Puts proxies, busiest first, on the parts with most room, as the channel takes them, or moves them.
     fn bind_joined(&mut self, orders: &mut Orders) {
         // By zone, where zones have their own tables, and part: its servers' weight, its proxies' traffic.
         let set = |zone: ZoneId| if leans(&self.settings) { zone } else { ZoneId::default() };
@@ -940,9 +933,9 @@
         }
         let brings = shares(self.proxies.values().map(|proxy| (set(proxy.zone), proxy.rate())));
         let all = self.proxies.values().map(Proxy::rate).sum::<f64>();
-        let shut = |id: &&ServerId| self.servers.get(id).is_some_and(|server| server.shut);
-        // One that holds withdrawals is told of each server whether it is shut out. Danger: uncounted lines.
-        let told = |t: &Table, all: bool| t.lines.keys().filter(|id| all || shut(id)).count();
+        // With a table goes what was seen to leave here, with a further one all. Danger: uncounted lines.
+        let left = |id: &&ServerId| self.servers.get(id).is_some_and(Server::left);
+        let told = |t: &Table, all: bool| t.lines.keys().filter(|id| all || left(id)).count();
         let size = |t: &Table, all| 1 + t.lines.len() + t.levels.len() + told(t, all);
         // Those on tables in ticks alone. Danger: while a fleet joins all would be looked at each time.
         let some = self.proxies.iter().filter(|(_, p)| !p.bound || self.ticked == orders.at);
@@ -963,11 +956,19 @@
             let (part, freest) = if heavy { (self.parts, 0.0) } else { part };
             let own = room.entry((zone, proxy.part)).or_default();
             if bound && (part == proxy.part || loaded(own, 0.0) < REDEAL * freest) {
+                // Another instance may have shut out what never left here: that waits for room. Danger: joins
+                // twice as long, and the tables that a proxy brought name what is gone until then.
+                let named = proxy.tables.iter().filter_map(|table| self.tables.get(table));
+                let lines = named.map(|table| table.lines.len()).sum::<usize>() as f64;
+                if proxy.brought && self.fits(orders, &[id], lines, ORDINARY) {
+                    orders.give(Action::Reconcile(id), &[id], lines);
+                    self.proxies.entry(id).and_modify(|proxy| proxy.brought = false);
+                }
                 continue;
             }
             let tables = self.schemes.iter().filter(|scheme| scheme.serves(proxy.zone, part));
             let cost = tables.clone().filter_map(|scheme| self.tables.get(&scheme.table));
-            let cost = cost.map(|table| size(table, proxy.brought || holds) as f64).sum::<f64>();
+            let cost = cost.map(|table| size(table, holds) as f64).sum::<f64>();
             if !self.fits(orders, &[id], cost, if holds { ORDINARY } else { JOINS }) {
                 break;
             }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -107,6 +107,10 @@
     pub fn open(&self) -> bool {
         self.entry.life == Lifecycle::InService && !self.shut
     }
+    /// Whether it left at any time while it was listed here: proxies may hold it as shut out.
+    pub fn left(&self) -> bool {
+        self.shut || self.since > Micros(0)
+    }
     /// How many times longer probes take now than they usually do.
     pub fn slowed(&self) -> Option<f64> {
         Some(self.speed.probes.mean()? / self.probes_now.mean()?)
--- a/crates/supervisor/src/short_queue.rs
+++ b/crates/supervisor/src/short_queue.rs
@@ -456,6 +456,36 @@
     )
 }
 
+/// A supervisor that starts anew knows nothing of servers that are gone by then: whole tables alone take them from the
+/// proxies that join it at once, so that these must all leave within the grace. The channel here sends 60 of them in
+/// 2.3 s, with each server let back in 3.9 s; the grace and the slack allow 2.8. What is put off comes with the room for it.
+#[test]
+fn all_proxies_of_another_supervisor_join_within_the_grace() {
+    let weather = Weather {
+        seed: 3,
+        proxies: 60,
+        servers: 24,
+        head: 4,
+        messages_most: 0,
+        backlog: 3.0,
+        fleets_per_s: 0.115,
+        pace: 1.0,
+        lost: 0.0,
+        stall: 0,
+        storms: vec![],
+    };
+    let mut world = World::new(weather);
+    world.run(true).expect("the rules");
+    for holder in &mut world.holders {
+        holder.tables.apply("push drop=s20,s21").expect("another supervisor's order");
+    }
+    world.weather.storms = vec![(1, Storm::Break(100, false)), (1, Storm::Drain(4))];
+    world.run(true).expect("the rules");
+    let open = world.servers.values().filter(|server| server.0 == Lifecycle::InService).count();
+    let whole = |holder: &Holder| holder.tables.picks(CLASSES[0]).len() == open;
+    assert!(world.holders.iter().all(whole), "what another supervisor shut out is let back");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, ..ProptestConfig::default() })]
 
