A stream is silent by the pauses seen on it: proxies with few requests keep theirs

What this side ends does not count as left, so that the time for the drains of such a proxy runs on while it joins anew. At fault: clients.rs, usage once brought was taken to come every period. Change: silence without usage is ten times the longest pause that the stream has shown, ten periods at the least. Test on loopback: after a pause of 2 s a proxy is not given up for 7 s more (5 s before); the busy one still is, after 5 s.

--- a/crates/supervisor/src/clients.rs
+++ b/crates/supervisor/src/clients.rs
@@ -15,7 +15,8 @@
 use crate::wire::{self, Fault, Hello, Message, Run};
 
 /// Report periods after which a quiet stream is taken for gone: live ones, of proxies that stood still for 2 s too,
-/// were never quiet for over 1.7 periods, and ending one that lives takes its proxy off its newest tables.
+/// were never quiet for over 1.7 periods, and ending one that lives takes its proxy off its newest tables. Where few requests
+/// come to each proxy they are quiet for longer: then so many times the longest pause on the stream.
 const SILENT_PERIODS: u32 = 10;
 /// The least such time, where reports are gathered more often.
 const SILENT_LEAST: Duration = Duration::from_secs(5);
@@ -23,13 +24,26 @@
 /// What tells that a stream should bring something.
 #[derive(Default)]
 struct Expected {
-    /// It has brought usage before, which comes every period.
-    usage: Cell<bool>,
+    /// When it last brought usage, and the longest time that it had none before.
+    usage: Cell<Option<(Micros, Micros)>>,
     /// When a mark was written, if it has answered none since.
     answer: Cell<Option<Micros>>,
 }
 
 impl Expected {
+    /// Usage has come, on a stream that began then.
+    fn used(&self, now: Micros, begun: Micros) {
+        let (last, longest) = self.usage.get().unwrap_or((begun, Micros(0)));
+        self.usage.set(Some((now, longest.max(now - last))));
+    }
+
+    /// Whether usage should have come by now. Danger: a proxy to which few requests come has none in most periods, and would
+    /// lose its stream for it.
+    fn usage_is_late(&self, now: Micros, silence: Duration) -> bool {
+        let due = |longest: Micros| micros(silence).max(Micros(longest.0 * i64::from(SILENT_PERIODS)));
+        self.usage.get().is_some_and(|(last, longest)| now - last >= due(longest))
+    }
+
     /// Whether a mark should have been answered by now: it reaches the proxy after all that waits in the channel. Danger: one
     /// with little to do, whose table waits behind those of many others, would lose its stream before it had any.
     fn answer_is_late(&self, hub: &Hub, silence: Duration) -> bool {
@@ -103,10 +117,10 @@
     expected: &Expected,
     silence: Duration,
 ) -> Result<Infallible, End> {
-    let mut run = Run::default();
+    let (mut run, begun) = (Run::default(), hub.clock.now());
     loop {
         let Ok(message) = timeout(silence, lines.message()).await else {
-            if expected.usage.get() {
+            if expected.usage_is_late(hub.clock.now(), silence) {
                 return Err(Ending::Silent.because("no usage"));
             }
             if expected.answer_is_late(hub, silence) {
@@ -121,7 +135,7 @@
                 None
             }
             Message::Told(report) if matches!(report, Report::Demand { proxy, .. } if proxy == id) => {
-                expected.usage.set(true);
+                expected.used(hub.clock.now(), begun);
                 hub.report(report);
                 None
             }
--- a/crates/supervisor/tests/serving.rs
+++ b/crates/supervisor/tests/serving.rs
@@ -453,6 +453,24 @@
     assert!(supervisor.alive().await);
 }
 
+/// Danger: where few requests come to each of many proxies, most have none to tell of in most periods, and on a day without
+/// any fault streams were ended for it. A pause of 2 s was seen here, so that 7 s more are none: 5 s end a busy one's.
+#[tokio::test]
+async fn a_proxy_to_which_few_requests_come_keeps_its_stream() {
+    let (_discovery, _servers, supervisor) = serving().await;
+    let mut proxy = joined(&supervisor, 0).await;
+    tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+    proxy.demand().await;
+    tokio::time::sleep(std::time::Duration::from_secs(7)).await;
+    proxy.peer.send("probe").await;
+    // Orders that came meanwhile are ahead of the answer.
+    let mut line = proxy.peer.line().await;
+    while line.as_ref().is_some_and(|line| line.starts_with("push")) {
+        line = proxy.peer.line().await;
+    }
+    assert_eq!(line.as_deref(), Some("alive"), "its stream goes on");
+}
+
 /// Danger: a proxy with little to do says nothing before its table has come. Where that waits in a slow channel, its stream
 /// was ended for it, and the time limits on its old table ran on. What waits here takes some ten seconds by the settings.
 #[tokio::test]
