--- a/crates/policy/tests/size.rs
+++ b/crates/policy/tests/size.rs
@@ -303,6 +303,8 @@
     let lines = width + settings.classes.len() as f64 + 2.0 + settings.message_head;
     assert!(1000.0 * lines <= 1150.0 * (20.0 - settings.way_most.secs()), "{width} servers");
     assert!(width >= 5.0 && of(12_000.0) >= 16.0, "{width} servers");
+    let ungraced = Settings { drain_grace: ms(0), ..settings };
+    assert_eq!(ungraced.rows_in_grace(), f64::INFINITY, "no part is narrow enough: none is narrowed for it");
 }
 
 #[test]
