A probe of a former process, or of another address, says nothing of the server that is listed now

Seen by reading: the answer to a probe came back under the server's name (engine.rs, Report::Probed), whatever the list had told meanwhile. In a rolling restart the end of the old process, reset under its probe, counted as a failed probe of the new one: two failed tries at a server with no past, an error term of 0 for a tick. The same where a name moves to another address, or the address to another server.

Ruled out: the module's own guard (asked) is cleared with the new process and does not tell the answers apart.

Change: a probe carries the start that the list named; its answer is an ending that says nothing where address or start are others now. Test: a_probe_of_a_former_process_says_nothing_of_the_next, red without (Unreachable where Other is due). And two engines in one process decide as each alone does: held, no fault.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -165,6 +165,7 @@
     server: ServerId,
     /// Where the server listens.
     pub address: String,
+    started: Option<Micros>,
 }
 
 /// What the decisions want of the list of servers.
@@ -329,13 +330,25 @@
             Report::Limits(limited) => Event::Limits(self.limits(&limited)),
             Report::Probed { probe, end, took, load } => {
                 self.measuring.heard();
-                Event::Probed { server: probe.server, end, took, load }
+                let server = probe.server;
+                if self.is_current(&probe) {
+                    Event::Probed { server, end, took, load }
+                } else {
+                    Event::Probed { server, end: ProbeEnd::Other, took, load: Load::default() }
+                }
             }
         };
         self.events.push(event);
         Ok(())
     }
 
+    /// Whether the process that was probed is the one that the list names now. Danger: the end of the former one, or of
+    /// whatever else answers at its address, would be held against one that has just started.
+    fn is_current(&self, probe: &Probe) -> bool {
+        let address = self.names.address(probe.server);
+        address == Some(probe.address.as_str()) && self.names.started(probe.server) == probe.started
+    }
+
     fn listed(&mut self, listed: &Listed) -> Entry {
         let (entry, returned) = self.names.listed(listed);
         self.notes.listed(entry.server, listed);
@@ -591,7 +604,7 @@
     pub fn pick_probe(&mut self) -> Option<Probe> {
         let server = self.probes.pop_front()?;
         let address = self.names.address(server).unwrap_or_default().to_string();
-        Some(Probe { server, address })
+        Some(Probe { server, address, started: self.names.started(server) })
     }
 
     /// What is wanted of the list of servers now; a wish to fetch it is given once.
--- a/crates/engine/src/engine/tests.rs
+++ b/crates/engine/src/engine/tests.rs
@@ -669,3 +669,141 @@
     assert_eq!(engine.fleet().servers.len(), MANY as usize);
     assert_eq!(engine.report(joined(MANY.into(), MANY, true)), Err(Unknown::Proxy(MANY)));
 }
+
+/// What the decisions hear of probes, of all servers that the list names.
+#[derive(Default)]
+struct Hears(Rc<std::cell::RefCell<Vec<(ServerId, ProbeEnd)>>>);
+
+impl Decides for Hears {
+    fn handle(&mut self, _: Micros, events: &[Event]) -> Vec<Action> {
+        let mut probes = Vec::new();
+        for event in events {
+            match event {
+                Event::Members(_, entries) => {
+                    probes.extend(entries.iter().map(|entry| Action::Probe(entry.server)))
+                }
+                Event::Probed { server, end, .. } => self.0.borrow_mut().push((*server, *end)),
+                _ => {}
+            }
+        }
+        probes
+    }
+}
+
+/// Danger: the end of a process that was probed, or of what else answers at its address now, would be held against the one
+/// that has just started under its name.
+#[test]
+fn a_probe_of_a_former_process_says_nothing_of_the_next() {
+    let hears = Hears::default();
+    let heard = Rc::clone(&hears.0);
+    let mut engine = Engine::with(Box::new(hears), &settings(CLASSES), vec!["z0".into()], vec![], vec![]);
+    let tell = |engine: &mut Engine, server: Listed| {
+        assert_eq!(engine.report(Report::List(ListKind::Changes, vec![server])), Ok(()));
+        engine.tick(Micros(0));
+        engine.pick_probe().expect("a probe")
+    };
+    let ends = |engine: &mut Engine, probe: Probe| {
+        let (end, took, load) = (ProbeEnd::Unreachable, Micros(1000), Load::default());
+        assert_eq!(engine.report(Report::Probed { probe, end, took, load }), Ok(()));
+        engine.tick(Micros(0));
+        heard.borrow_mut().pop().expect("an end").1
+    };
+    let first = tell(&mut engine, listed(0));
+    let again = tell(&mut engine, listed(0));
+    assert_eq!(ends(&mut engine, first), ProbeEnd::Unreachable, "told again, but the same");
+    let moved = tell(&mut engine, Listed { address: "127.0.0.1:9".into(), ..listed(0) });
+    assert_eq!(ends(&mut engine, again), ProbeEnd::Other, "it listens elsewhere");
+    let anew = Listed { address: "127.0.0.1:9".into(), started: Some(Micros(5)), ..listed(0) };
+    let anew = tell(&mut engine, anew);
+    assert_eq!(ends(&mut engine, moved), ProbeEnd::Other, "it has started anew at the same address");
+    assert_eq!(ends(&mut engine, anew), ProbeEnd::Unreachable);
+}
+
+/// One customer's fleet for a while: what comes by the second, and all orders in words.
+struct Shop {
+    engine: Engine,
+    now: Micros,
+    said: Vec<String>,
+    class: String,
+    zone: String,
+}
+
+impl Shop {
+    fn new(prefix: &str, of: Settings) -> Shop {
+        let names = |of: &str, n: usize| (0..n).map(|k| format!("{prefix}{of}{k}")).collect::<Vec<_>>();
+        let (zones, classes) = (names("z", of.zones), names("c", of.classes.len()));
+        let (class, zone) = (classes[0].clone(), zones[0].clone());
+        let mut engine = Engine::new(of, 7, zones, classes, names("k", 2));
+        let list = (0..6).map(|of| Listed { zone: zone.clone(), ..listed(of) }).collect();
+        assert_eq!(engine.report(Report::List(ListKind::WarmCopy, list)), Ok(()));
+        Shop { engine, now: Micros(0), said: Vec::new(), class, zone }
+    }
+
+    fn second(&mut self, second: u32) {
+        let (class, zone) = (self.class.clone(), self.zone.clone());
+        for proxy in 0..2 {
+            let stream = StreamId(u64::from(10 * second + proxy));
+            if second % 9 == proxy {
+                let joined =
+                    Report::Joined { stream, proxy, zone: zone.clone(), rate: 10.0, new: second < 9 };
+                assert_eq!(self.engine.report(joined), Ok(()));
+            }
+            let (class, came, failed) = (class.clone(), 30.0, 0.0);
+            let demand = Report::Demand { proxy, class, came, failed, period: Micros(1_000_000) };
+            let _ = self.engine.report(demand);
+        }
+        for server in 0..6 {
+            let (zone, server, tries, failed) =
+                (zone.clone(), format!("s{server}"), 10.0, f64::from(second * server % 7));
+            let load = Load { queue: Some(f64::from(second % 5)), ..Load::default() };
+            let (mean_ms, period) = (50.0, Micros(1_000_000));
+            let heard = Report::Outcomes { zone, server, tries, failed, mean_ms, period, load };
+            assert_eq!(self.engine.report(heard), Ok(()));
+        }
+        for _ in 0..4 {
+            self.now = self.now + Micros(250_000);
+            self.engine.tick(self.now);
+            for stream in self.engine.pick_streams() {
+                let order = self.engine.pick_order(stream).expect("an order");
+                self.said.push(format!("{stream:?} {order:?}"));
+                if let Some(mark) = order.stamp {
+                    let _ = self.engine.report(Report::Ack { stream, mark, took: Micros(1000) });
+                }
+            }
+            while let Some(probe) = self.engine.pick_probe() {
+                self.said.push(format!("{probe:?}"));
+                let (end, took, load) = (ProbeEnd::Done, Micros(3000), Load::default());
+                assert_eq!(self.engine.report(Report::Probed { probe, end, took, load }), Ok(()));
+            }
+        }
+    }
+}
+
+/// Danger: one customer's settings bleed into another's.
+#[test]
+fn two_engines_in_one_process_decide_as_each_alone_does() {
+    let one = || Shop::new("a", settings(CLASSES));
+    let other = || {
+        let unsafe_class = Class { effect: Effect::Unsafe, home_only: true, ..settings(1).classes[0] };
+        let settings = Settings {
+            classes: vec![unsafe_class; 2],
+            zones: 1,
+            levels: LevelKind::PerSecond,
+            message_head: 9.0,
+            cold_for: Micros(3_000_000),
+            ..settings(2)
+        };
+        Shop::new("b", settings)
+    };
+    let alone = |mut shop: Shop| {
+        (0..40).for_each(|second| shop.second(second));
+        shop.said
+    };
+    let (mut first, mut second) = (one(), other());
+    for of in 0..40 {
+        first.second(of);
+        second.second(of);
+    }
+    assert!(first.said.len() > 100 && first.said != second.said);
+    assert_eq!((first.said, second.said), (alone(one()), alone(other())));
+}
--- a/crates/engine/src/names.rs
+++ b/crates/engine/src/names.rs
@@ -32,6 +32,7 @@
 struct Known {
     name: Rc<str>,
     address: String,
+    started: Option<Micros>,
 }
 
 /// Names that were forgotten and are told from new ones, by eight bytes each: several times the servers of the largest
@@ -89,6 +90,11 @@
         self.servers.get(&server).map(|known| known.address.as_str())
     }
 
+    /// The latest start of the server, as far as the list told it.
+    pub fn started(&self, server: ServerId) -> Option<Micros> {
+        self.servers.get(&server).and_then(|known| known.started)
+    }
+
     /// Nothing names the server any more. Its number is not used again.
     pub fn forget(&mut self, server: ServerId) {
         let Some(known) = self.servers.remove(&server) else { return };
@@ -104,8 +110,11 @@
     pub fn listed(&mut self, listed: &Listed) -> (Entry, bool) {
         let known = self.server(&listed.name).map(|server| (server, false));
         let (server, returned) = known.unwrap_or_else(|| self.intern(&listed.name));
-        if let Some(known) = self.servers.get_mut(&server).filter(|_| !listed.address.is_empty()) {
-            known.address.clone_from(&listed.address);
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.started = listed.started;
+            if !listed.address.is_empty() {
+                known.address.clone_from(&listed.address);
+            }
         }
         let entry = Entry {
             server,
@@ -127,7 +136,7 @@
         let returned = self.forgotten.len() < forgotten;
         let name: Rc<str> = Rc::from(name);
         self.by_name.insert(Rc::clone(&name), id);
-        self.servers.insert(id, Known { name, address: String::new() });
+        self.servers.insert(id, Known { name, address: String::new(), started: None });
         (id, returned)
     }
 }
