The answer to an older mark is none to a newer one, and usage is none at all

Seen by reading, then forced: clients.rs looked for a late answer only after a pause in all that a proxy says, and any answer cleared what was expected (expected.answer.set(None)). A proxy that goes on with usage but takes no order kept its old tables for good, servers that drain among them; one that answered an older mark and then none was never noticed.

Ruled out: the protocol's reset at 128 KiB unread ends the first case only where so much is written to it.

Change: the newest mark written is kept, an answer to an older one counts from its coming, and lateness is looked at after each message; the limit is as before (ten report periods, 5 s at least, and what waits in the channel).

--- a/crates/supervisor/src/clients.rs
+++ b/crates/supervisor/src/clients.rs
@@ -26,8 +26,8 @@
 struct Expected {
     /// When it last brought usage, and the longest time that it had none before.
     usage: Cell<Option<(Micros, Micros)>>,
-    /// When a mark was written, if it has answered none since.
-    answer: Cell<Option<Micros>>,
+    /// The newest mark that was written and is not answered, and since when one is awaited.
+    answer: Cell<Option<(u16, Micros)>>,
 }
 
 impl Expected {
@@ -44,11 +44,24 @@
         self.usage.get().is_some_and(|(last, longest)| now - last >= due(longest))
     }
 
+    /// A mark has been written.
+    fn wrote(&self, mark: u16, now: Micros) {
+        let since = self.answer.get().map_or(now, |(_, since)| since);
+        self.answer.set(Some((mark, since)));
+    }
+
+    /// A mark is answered. Danger: the answer to an older one says nothing of a newer one, which is awaited from here on.
+    fn answered(&self, mark: u16, now: Micros) {
+        self.answer
+            .set(self.answer.get().filter(|(newest, _)| *newest != mark).map(|(newest, _)| (newest, now)));
+    }
+
     /// Whether a mark should have been answered by now: it reaches the proxy after all that waits in the channel. Danger: one
     /// with little to do, whose table waits behind those of many others, would lose its stream before it had any.
     fn answer_is_late(&self, hub: &Hub, silence: Duration) -> bool {
-        let due = micros(silence) + hub.engine().figures().wait;
-        self.answer.get().is_some_and(|written| hub.clock.now() - written >= due)
+        let waited = self.answer.get().map(|(_, since)| hub.clock.now() - since);
+        let waited = waited.filter(|waited| *waited >= micros(silence));
+        waited.is_some_and(|waited| waited >= micros(silence) + hub.engine().figures().wait)
     }
 }
 
@@ -119,18 +132,18 @@
 ) -> Result<Infallible, End> {
     let (mut run, begun) = (Run::default(), hub.clock.now());
     loop {
-        let Ok(message) = timeout(silence, lines.message()).await else {
-            if expected.usage_is_late(hub.clock.now(), silence) {
-                return Err(Ending::Silent.because("no usage"));
-            }
-            if expected.answer_is_late(hub, silence) {
-                return Err(Ending::Silent.because("no answer to a mark"));
-            }
-            continue;
-        };
+        let message = timeout(silence, lines.message()).await;
+        if message.is_err() && expected.usage_is_late(hub.clock.now(), silence) {
+            return Err(Ending::Silent.because("no usage"));
+        }
+        // Whatever else it says. Danger: one that goes on with usage but takes no order keeps its old tables for good.
+        if !matches!(message, Ok(Ok(Message::Ack { .. }))) && expected.answer_is_late(hub, silence) {
+            return Err(Ending::Silent.because("no answer to a mark"));
+        }
+        let Ok(message) = message else { continue };
         let fault = match message? {
             Message::Ack { id: by, seq, ms } if by == id => {
-                expected.answer.set(None);
+                expected.answered(seq, hub.clock.now());
                 hub.report(Report::Ack { stream, mark: seq, took: ms });
                 None
             }
@@ -167,8 +180,7 @@
             let order = hub.engine().pick_order(stream);
             let Some(order) = order else { break };
             let text = wire::order(&order);
-            let written = order.stamp.map(|_| hub.clock.now());
-            expected.answer.set(expected.answer.get().or(written));
+            order.stamp.into_iter().for_each(|mark| expected.wrote(mark, hub.clock.now()));
             send(write, text.as_bytes()).await?;
         }
     }
