News that could not be read is asked for again, and a list that counts anew is taken whole

For how long one agent lagged no longer counts against the next. - A watch that opens and says nothing was replaced by another, 3 s each, against the 6 s after which news counts as told.

--- a/crates/supervisor/src/config.rs
+++ b/crates/supervisor/src/config.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::wire;
+use crate::wire::{self, Targets};
 
 /// How long a connection to a server may take where the settings do not tell, in milliseconds: far beyond any way.
 const CONNECT_MS: f64 = 1000.0;
@@ -205,10 +205,17 @@
     })
 }
 
-/// A list in the file that cannot be read is like none: discovery tells the rest.
+/// A list in the file that cannot be read is like none: discovery tells the rest. Of one that can be read in part
+/// discovery tells all that came since the first version.
 fn known(json: Value) -> Option<(u64, Report)> {
     match wire::targets_in(json) {
-        Ok(targets) => Some((targets.index, Report::List(ListKind::WarmCopy, targets.entries))),
+        Ok(Targets { index, entries, unreadable, .. }) => {
+            if unreadable > 0 {
+                tracing::warn!(unreadable, "entries of the known list can't be read");
+            }
+            let index = if unreadable > 0 { 0 } else { index };
+            Some((index, Report::List(ListKind::WarmCopy, entries)))
+        }
         Err(fault) => {
             tracing::warn!(%fault, "the known list cannot be read");
             None
--- a/crates/supervisor/src/config/tests.rs
+++ b/crates/supervisor/src/config/tests.rs
@@ -91,3 +91,15 @@
         assert_eq!(reloaded.later, ["name", "limits"], "said until the program starts anew");
     }
 }
+
+/// Danger: what an entry that can't be read told came before the version that the list names, and would never be told.
+#[test]
+fn a_known_list_read_in_part_holds_from_the_first_version() {
+    let text = WHOLE.replace("{\"name\":\"s-1\"", "{\"name\":\"s-0\",\"status\":7},{\"name\":\"s-1\"");
+    let Some((0, Report::List(ListKind::WarmCopy, entries))) =
+        read(text.as_bytes(), none).expect("a configuration").known
+    else {
+        panic!("no known list")
+    };
+    assert_eq!(entries.len(), 1);
+}
--- a/crates/supervisor/src/list.rs
+++ b/crates/supervisor/src/list.rs
@@ -1,10 +1,11 @@
 //! Discovery: the list of servers as a watch, or on request.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use chutegrade_engine::{ListKind, ListWish, Report};
+use chutegrade_engine::{Lifecycle, ListKind, ListWish, Listed, Report};
 use chutegrade_records::{pb, Kind};
 use futures_util::TryStreamExt;
 use http_body_util::{BodyExt, Limited};
@@ -32,6 +33,9 @@
 const AGAIN: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
 /// A list that stays older than what is known for so long has begun to count anew: news is nowhere later than this.
 const BEHIND_MOST: Duration = Duration::from_secs(6);
+/// A version with entries that can't be read is asked for again until it was told so many times; then it holds without
+/// them, as what is told in the same words for good. The waits between take a second, well within news' 6 s.
+const SPOILT_MOST: u32 = 5;
 
 /// Follows the list.
 pub struct List {
@@ -39,25 +43,45 @@
     /// Where discovery answers; a new configuration may name another address.
     address: watch::Receiver<SocketAddr>,
     index: Option<u64>,
+    /// The last word on each server that is listed.
+    entries: HashMap<String, Listed>,
     wait: Duration,
     on_request: bool,
     failing: bool,
-    /// Discovery has moved: entries may have other addresses there, so the whole list is asked for first.
-    moved: bool,
+    /// The whole list is wanted before anything else, until it has come: discovery has moved, and entries may have other
+    /// addresses there, or the decisions asked for it.
+    whole: bool,
+    /// The last watch fell silent: the whole list is asked for once. Danger: where watches open and say nothing, one after
+    /// the other, news is later than the rules allow.
+    doubt: bool,
     /// Since when discovery tells what is older than what is known.
     behind: Option<Instant>,
+    /// The last version that was told with entries that can't be read, and how many times.
+    spoilt: (u64, u32),
 }
 
 impl List {
-    /// Follows the list from a version that is known.
+    /// Follows the list from a version that is known, with its entries.
     pub fn new(
         hub: Rc<Hub>,
         address: watch::Receiver<SocketAddr>,
-        index: Option<u64>,
+        known: Option<(u64, Vec<Listed>)>,
         on_request: bool,
     ) -> Self {
-        let (wait, failing, moved, behind) = (AGAIN.0, false, false, None);
-        List { hub, address, index, wait, on_request, failing, moved, behind }
+        let (index, entries) = known.map_or((None, Vec::new()), |(index, entries)| (Some(index), entries));
+        List {
+            hub,
+            address,
+            index,
+            entries: entries.into_iter().map(|entry| (entry.name.clone(), entry)).collect(),
+            wait: AGAIN.0,
+            on_request,
+            failing: false,
+            whole: false,
+            doubt: false,
+            behind: None,
+            spoilt: (0, 0),
+        }
     }
 
     /// Runs until the supervisor stops. Once discovery has moved, whatever was under way at the old address is left at
@@ -69,7 +93,8 @@
             tokio::select! {
                 () = self.turn(&mut wish) => {}
                 Ok(()) = address.changed() => {
-                    (self.wait, self.moved, self.failing) = (AGAIN.0, true, false);
+                    // Another agent may lag in its own way: for how long the last one did says nothing of it.
+                    (self.wait, self.whole, self.failing, self.behind) = (AGAIN.0, true, false, None);
                 }
             }
         }
@@ -85,8 +110,19 @@
         if fetch {
             self.hub.take_fetch();
         }
-        let ended = if fetch || self.moved { self.fetch().await } else { self.watch(wish).await };
+        // Where calls are asked for one by one, one that failed is over, and the decisions hear of it.
+        self.whole |= fetch && !self.on_request;
+        let doubt = std::mem::take(&mut self.doubt);
+        let ended = if fetch || self.whole {
+            self.fetch().await
+        } else if doubt {
+            // That it answers does not yet say that news comes.
+            self.ask_whole().await
+        } else {
+            self.watch(wish).await
+        };
         let Err(reason) = ended else { return };
+        self.doubt = reason == Ending::Silent && !self.on_request;
         if !std::mem::replace(&mut self.failing, true) {
             tracing::warn!(%reason, "discovery does not tell");
             let reason = reason.code().to_string();
@@ -114,36 +150,40 @@
         }
     }
 
-    /// Asks for the whole list once.
+    /// Asks for the whole list once, and takes it for a sign that discovery tells.
     async fn fetch(&mut self) -> Result<(), Ending> {
+        self.ask_whole().await?;
+        self.works();
+        self.whole = false;
+        Ok(())
+    }
+
+    async fn ask_whole(&mut self) -> Result<(), Ending> {
         let response = self.ask("/api/targets").await?;
         let body = timeout(SILENT_MOST, Limited::new(response.into_body(), LIST_MOST).collect()).await;
         let body = body.map_err(|_| Ending::TimedOut)?.map_err(|_| Ending::CutShort)?.to_bytes();
         let text = String::from_utf8(body.to_vec()).map_err(|_| Ending::Unreadable)?;
-        self.tell(&text)?;
-        self.works();
-        self.moved = false;
-        Ok(())
+        self.tell(&text)
     }
 
-    /// Follows changes until the watch ends or is no longer wanted.
+    /// Follows changes until the watch ends, is no longer wanted, or the whole list is.
     async fn watch(&mut self, wish: &mut watch::Receiver<ListWish>) -> Result<(), Ending> {
         let Some(index) = self.index else { return self.fetch().await };
         let response = self.ask(&format!("/api/targets?watch=1&from={index}")).await?;
         let mut lines = Lines::new(chunks(response), LIST_MOST);
-        loop {
+        while self.index.is_some() {
             let line = tokio::select! {
                 line = timeout(SILENT_MOST, lines.next()) => line.unwrap_or(Err(Ending::Silent))?,
                 _ = wish.changed() => return Ok(()),
             };
-            self.works();
-            if !line.is_empty() {
+            if line.is_empty() {
+                self.counts_anew();
+            } else {
                 self.tell(&line)?;
             }
-            if self.behind.is_some_and(|since| since.elapsed() >= BEHIND_MOST) {
-                return Ok(());
-            }
+            self.works();
         }
+        Ok(())
     }
 
     /// Discovery told something: the next failure is a new one.
@@ -161,39 +201,77 @@
             tracing::warn!(%fault, "discovery told what can't be read");
             Ending::Unreadable
         })?;
-        let Targets { index, complete, entries, unreadable, twice } = targets;
-        if unreadable > 0 {
+        let Targets { index, whole, twice, entries, unreadable, .. } = &targets;
+        if *unreadable > 0 {
             tracing::warn!(unreadable, "entries of the list can't be read");
         }
-        if twice > 0 {
+        if *twice > 0 {
             tracing::warn!(twice, "the list names servers twice, the last word on each holds");
         }
-        tracing::debug!(index, complete, entries = entries.len(), "list");
-        if self.is_behind(index) {
+        tracing::debug!(index, whole, entries = entries.len(), "list");
+        if self.is_behind(*index, *whole) {
             return Ok(());
         }
-        self.index = Some(index);
-        let kind = if complete { ListKind::Complete } else { ListKind::Changes };
+        let (index, spoilt) = (*index, *unreadable > 0);
+        let (kind, entries) = self.delivery(targets);
         self.hub.report(Report::List(kind, entries));
+        // Danger: what an entry that can't be read told, a drain perhaps, is never told again to whoever asks for what
+        // came after it.
+        if spoilt && self.is_asked_again(index) {
+            return Err(Ending::Unreadable);
+        }
+        self.index = Some(index);
         Ok(())
     }
 
+    /// What a delivery tells, kept as the last word. In a whole list, one whose entry can't be read but for its name stays
+    /// as it was; where not even names can be read the rest counts as changes, so that none reads as its server's removal.
+    fn delivery(&mut self, targets: Targets) -> (ListKind, Vec<Listed>) {
+        let Targets { complete, whole, mut entries, named, unreadable, .. } = targets;
+        let complete = complete || (whole && named.len() == unreadable);
+        if complete {
+            entries.extend(named.iter().filter_map(|name| self.entries.get(name).cloned()));
+            self.entries.clear();
+        }
+        for entry in &entries {
+            if entry.life == Lifecycle::Gone {
+                self.entries.remove(&entry.name);
+            } else {
+                self.entries.insert(entry.name.clone(), entry.clone());
+            }
+        }
+        (if complete { ListKind::Complete } else { ListKind::Changes }, entries)
+    }
+
+    /// Whether a version with entries that can't be read is asked for once more.
+    fn is_asked_again(&mut self, index: u64) -> bool {
+        let times = if self.spoilt.0 == index { self.spoilt.1 + 1 } else { 1 };
+        self.spoilt = (index, times);
+        times < SPOILT_MOST
+    }
+
     /// Whether a version is older than what is known. Danger: an agent that lags, as one at a new address may, tells of
     /// a server that drains as if it were up.
-    fn is_behind(&mut self, index: u64) -> bool {
+    fn is_behind(&mut self, index: u64, whole: bool) -> bool {
         if self.index.is_none_or(|known| index >= known) {
             self.behind = None;
             return false;
         }
-        let since = self.behind.get_or_insert_with(|| {
+        self.behind.get_or_insert_with(|| {
             tracing::warn!(index, known = self.index, "discovery is behind what it told before");
             Instant::now()
         });
-        let anew = since.elapsed() >= BEHIND_MOST;
+        !self.counts_anew() || !whole
+    }
+
+    /// Whether discovery has been behind for so long that it counts anew: then the whole list is asked for. Danger: changes
+    /// alone lack those that came before them and were not believed.
+    fn counts_anew(&mut self) -> bool {
+        let anew = self.behind.is_some_and(|since| since.elapsed() >= BEHIND_MOST);
         if anew {
-            self.behind = None;
+            (self.behind, self.index) = (None, None);
         }
-        !anew
+        anew
     }
 }
 
--- a/crates/supervisor/src/serve.rs
+++ b/crates/supervisor/src/serve.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use chutegrade_engine::{Engine, Micros, ReportSource};
+use chutegrade_engine::{Engine, Micros, Report, ReportSource};
 use chutegrade_operator::{LogFormat, Operator};
 use chutegrade_records::{kind, pb, text, Kind};
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -90,10 +90,14 @@
     let version = env!("CARGO_PKG_VERSION").to_string();
     hub.note(Kind::Started(pb::Started { version, listen: listen.to_string(), zones, classes }));
     let servers = Servers::new(reports, length(Micros::from_ms(config.connect_ms)), keep);
-    let index = config.known.as_ref().map(|(index, _)| *index);
-    if let Some((_, known)) = config.known {
+    let known = config.known.map(|(index, known)| {
+        let entries = match &known {
+            Report::List(_, entries) => entries.clone(),
+            _ => Vec::new(),
+        };
         hub.report(known);
-    }
+        (index, entries)
+    });
     let plugins = Rc::new(Plugins::new(operator.plugins.clone()));
     if !plugins.is_none() {
         plugins.load(&hub);
@@ -106,7 +110,7 @@
     let (moved, discovery) = watch::channel(config.discovery);
     let reloading =
         tokio::task::spawn_local(reloads(hub.clone(), replaced, source, moved, (plugins, limits)));
-    let list = list::List::new(hub.clone(), discovery, index, on_request);
+    let list = list::List::new(hub.clone(), discovery, known, on_request);
     let listing = tokio::task::spawn_local(list.run());
     let serving = listener::serve(hub.clone(), listener, config.limits.sockets, silence);
     let serving = tokio::task::spawn_local(serving);
--- a/crates/supervisor/src/wire.rs
+++ b/crates/supervisor/src/wire.rs
@@ -284,12 +284,16 @@
 pub struct Targets {
     /// The list's version.
     pub index: u64,
+    /// It is the whole list.
+    pub whole: bool,
     /// It is the whole list, and every entry could be read.
     pub complete: bool,
     /// Its entries.
     pub entries: Vec<Listed>,
     /// How many entries could not be read.
     pub unreadable: usize,
+    /// The names of those, as far as they could be read.
+    pub named: Vec<String>,
     /// How many entries were passed over, since a later one names the same server.
     pub twice: usize,
 }
@@ -335,9 +339,16 @@
 }
 
 fn delivery(raw: RawTargets) -> Targets {
-    let all = raw.endpoints.len();
-    let mut entries: Vec<Listed> = raw.endpoints.into_iter().filter_map(endpoint).collect();
-    let unreadable = all - entries.len();
+    let (mut entries, mut named, mut unreadable) = (Vec::new(), Vec::new(), 0);
+    for json in raw.endpoints {
+        match endpoint(json) {
+            Ok(entry) => entries.push(entry),
+            Err(name) => {
+                unreadable += 1;
+                named.extend(name);
+            }
+        }
+    }
     // The last word on a server holds, whatever came before it.
     let last: HashMap<String, usize> =
         entries.iter().enumerate().map(|(at, entry)| (entry.name.clone(), at)).collect();
@@ -346,11 +357,17 @@
         let mut at = 0..;
         entries.retain(|entry| at.next() == last.get(&entry.name).copied());
     }
-    Targets { index: raw.index, complete: raw.snapshot && unreadable == 0, entries, unreadable, twice }
+    let (index, whole) = (raw.index, raw.snapshot);
+    Targets { index, whole, complete: whole && unreadable == 0, entries, unreadable, named, twice }
+}
+
+/// Reads an entry; of one that can't be read the name, if that can.
+fn endpoint(json: serde_json::Value) -> Result<Listed, Option<String>> {
+    let name = json.get("name").and_then(serde_json::Value::as_str).map(str::to_string);
+    serde_json::from_value(json).ok().and_then(listed).ok_or(name)
 }
 
-fn endpoint(json: serde_json::Value) -> Option<Listed> {
-    let raw: RawEndpoint = serde_json::from_value(json).ok()?;
+fn listed(raw: RawEndpoint) -> Option<Listed> {
     let writable = |byte: u8| byte.is_ascii_graphic() && !matches!(byte, b',' | b':' | b'=');
     let figures = [raw.weight, raw.since_ms, raw.group];
     if raw.name.is_empty()
