An end, a start and a probe that cross something else: forced on sockets, and mended

Seen by reading, then forced: the process stands still while both events come, or a peer played by hand holds the one until the other has happened (crossings.rs, standins/scripted.rs). Red on, by test: - SIGHUP or SIGTERM while the configuration is read ended the program by the signal: the handlers stood only in serve.rs run(), after from_env(). They stand first now. a_reload_while_the_configuration_is_read_waits_for_the_start, an_end_while_the_configuration_is_read_is_an_end_like_any. - After SIGTERM the listener went on accepting and alive was answered (listener.rs, select without order), ticks, probes, the list and reloads went on for 0.1 s. All are ended at once, the end is looked at first. nobody_hears_that_it_is_in_use_once_it_stops (a second SIGTERM and SIGHUP beside it). - Connections to servers and discovery left no line at the end (http.rs drove them apart), and 0.1 s had to do for all others. All are waited for (TaskTracker), 0.25 s at most; the records get what is left of 0.6 s, before SIGKILL at 0.7. an_end_while_the_list_is_fetched_leaves_its_line. - Kept connections to servers took the descriptors that proxies need: with 40 servers and 40 descriptors, of 8 proxies some were never let in, and some servers never probed. Where none is left, kept ones go. kept_connections_make_room_for_proxies. - Half an answer on a kept connection that broke passed for a bad answer of a good server (any fault of a body was TooLong), and a second attempt's time held the first's. half_an_answer_on_a_kept_connection_is_no_answer, the_time_of_a_second_attempt_is_its_own; red with these lines undone. - 300 ms for the answer to a probe was one customer's half of its shortest aim, a constant. It follows the settings' aims now, a second at most. an_answer_is_awaited_by_the_shortest_aim. Held before as after: an order half written at the end, three streams of a proxy in a turn, an order lost with its stream, shutting out by two supervisors, a table without its way of trying again, a server that resets each probe, a reload of the settings, nothing left by a run.

--- a/crates/records/src/recorder.rs
+++ b/crates/records/src/recorder.rs
@@ -133,12 +133,17 @@
     }
 
     /// Writes and commits what waits, and ends both threads; a disk that hangs is not awaited for long.
-    pub fn close(mut self) -> bool {
+    pub fn close(self) -> bool {
+        self.close_within(CLOSE_MOST)
+    }
+
+    /// The same, awaited for no longer than this.
+    pub fn close_within(mut self, within: Duration) -> bool {
         self.stop.store(true, Ordering::Release);
         let begun = Instant::now();
         let handles = [self.writer.take(), self.keeper.take()];
         let ended = |handle: &Option<JoinHandle<()>>| handle.as_ref().is_none_or(JoinHandle::is_finished);
-        while !handles.iter().all(ended) && begun.elapsed() < CLOSE_MOST {
+        while !handles.iter().all(ended) && begun.elapsed() < within {
             std::thread::sleep(Duration::from_millis(2));
         }
         handles.iter().all(ended)
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::http::{listen, serve, text, Body};
+use crate::scripted::{delivery, entry};
 
 #[derive(Default)]
 struct Told {
@@ -105,8 +106,8 @@
     /// Lists a server of a zone in this state, with its last start in Unix milliseconds, and tells the watches. One that
     /// is removed leaves the list.
     pub fn set_in(&self, zone: &str, name: &str, address: SocketAddr, status: &str, since_ms: i64) {
-        let entry = json!({"name": name, "address": address.to_string(), "zone": zone, "type": "m", "group": 0,
-                           "status": status, "weight": 1.0, "since_ms": since_ms});
+        let mut entry = entry(name, address, status, since_ms);
+        entry["zone"] = json!(zone);
         let line = {
             let mut told = self.told();
             told.index += 1;
@@ -115,7 +116,7 @@
             } else {
                 told.entries.insert(name.to_string(), entry.clone());
             }
-            json!({"index": told.index, "snapshot": false, "endpoints": [entry]}).to_string()
+            delivery(told.index, false, &[entry])
         };
         self.say(&line);
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod predict;
 pub mod program;
 pub mod script;
+pub mod scripted;
 pub mod server;
 pub mod tables;
 pub mod truth;
@@ -19,6 +20,7 @@
 
 pub use discovery::Discovery;
 pub use peer::{Peer, Proxy};
-pub use program::{config, Program, Supervisor};
+pub use program::{config, Held, Program, Supervisor};
+pub use scripted::{delivery, entry, Scripted};
 pub use server::{Manner, Server};
 pub use wait::{soon, until};
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -4,7 +4,7 @@
 use std::ops::{Deref, DerefMut};
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::program::Supervisor;
 use crate::tables::Tables;
@@ -19,10 +19,22 @@
     /// Connects.
     pub async fn connect(address: SocketAddr) -> Self {
         let stream = soon("a connection", TcpStream::connect(address)).await.expect("a connection");
+        Peer::over(stream)
+    }
+
+    /// The other side of a connection that stands.
+    pub fn over(stream: TcpStream) -> Self {
         stream.set_nodelay(true).expect("an option");
         Peer { stream: BufReader::new(stream) }
     }
 
+    /// Connects with as little room for what it does not read as the system allows.
+    pub async fn connect_narrow(address: SocketAddr) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(1).expect("an option");
+        Peer::over(soon("a connection", socket.connect(address)).await.expect("a connection"))
+    }
+
     /// Writes a line, in two pieces.
     pub async fn send(&mut self, line: &str) {
         let line = format!("{line}\r\n");
@@ -45,10 +57,49 @@
         }
     }
 
-    /// Waits until the other side ends the connection.
-    pub async fn ended(&mut self) {
+    /// The path of the next HTTP request; none once the connection has ended.
+    pub async fn request(&mut self) -> Option<String> {
+        let first = soon("a request", self.line()).await?;
+        while !soon("the rest of a request", self.line()).await?.is_empty() {}
+        first.split(' ').nth(1).map(str::to_string)
+    }
+
+    /// Answers a request whole.
+    pub async fn answer(&mut self, status: u16, body: &str) {
+        let head = format!("HTTP/1.1 {status} As\r\ncontent-length: {}\r\n\r\n", body.len());
+        self.raw(format!("{head}{body}").as_bytes()).await;
+    }
+
+    /// Begins the answer to a watch.
+    pub async fn begin(&mut self) {
+        self.raw(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await;
+    }
+
+    /// Says a piece of a watch.
+    pub async fn piece(&mut self, text: &str) {
+        self.raw(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await;
+    }
+
+    /// Says a line of a watch.
+    pub async fn tell(&mut self, line: &str) {
+        self.piece(&format!("{line}\n")).await;
+    }
+
+    /// All that came and is still unread, until the connection ends.
+    pub async fn rest(&mut self) -> String {
         let mut rest = Vec::new();
         let _ = soon("the end of the connection", self.stream.read_to_end(&mut rest)).await;
+        String::from_utf8_lossy(&rest).into_owned()
+    }
+
+    /// Resets the connection: what waits in it on either side is gone.
+    pub fn reset(self) {
+        self.stream.get_ref().set_zero_linger().expect("an option");
+    }
+
+    /// Waits until the other side ends the connection.
+    pub async fn ended(&mut self) {
+        self.rest().await;
     }
 }
 
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -1,5 +1,7 @@
 //! The program itself: started with a configuration, spoken to by signals, and asked what it logged.
 
+use std::fs::{File, OpenOptions};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -20,6 +22,14 @@
     path: PathBuf,
     scratch: PathBuf,
     operator: Option<PathBuf>,
+    temporary: Option<PathBuf>,
+}
+
+/// The program while it reads its configuration, out of a pipe that the test has not written to yet.
+pub struct Held {
+    child: Child,
+    path: String,
+    pipe: File,
 }
 
 /// The program as started, and what it has logged.
@@ -58,7 +68,7 @@
     /// The program in a file; what it is told goes into a directory.
     pub fn new(path: impl AsRef<Path>, scratch: impl AsRef<Path>) -> Self {
         let (path, scratch) = (path.as_ref().to_path_buf(), scratch.as_ref().to_path_buf());
-        Program { path, scratch, operator: None }
+        Program { path, scratch, operator: None, temporary: None }
     }
 
     /// The same with an operators' file.
@@ -67,6 +77,23 @@
         Program { operator: Some(file.as_ref().to_path_buf()), ..self.clone() }
     }
 
+    /// The same with a directory of its own for what it writes, which is also where it starts.
+    #[must_use]
+    pub fn with_scratch(&self, directory: impl AsRef<Path>) -> Self {
+        Program { temporary: Some(directory.as_ref().to_path_buf()), ..self.clone() }
+    }
+
+    /// Starts the program and holds it while it reads its configuration, whose file is a pipe from then on.
+    pub async fn start_held(&self) -> Held {
+        let (mut command, path) = self.command(&Value::Null);
+        std::fs::remove_file(&path).expect("its file");
+        let made = Command::new("mkfifo").arg(&path).status().await.expect("mkfifo");
+        assert!(made.success());
+        let child = command.spawn().expect("the program");
+        let pipe = opened(&path).await;
+        Held { child, path, pipe }
+    }
+
     fn command(&self, config: &Value) -> (Command, String) {
         let mut command = Command::new(&self.path);
         command.arg("serve");
@@ -84,6 +111,9 @@
         if let Some(operator) = &self.operator {
             command.env("CHUTEGRADE_OPERATOR", operator);
         }
+        if let Some(directory) = &self.temporary {
+            command.env("TMPDIR", directory).current_dir(directory);
+        }
         command.env("LB_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         command.kill_on_drop(true);
         (command, path)
@@ -126,9 +156,51 @@
     }
 }
 
+/// A pipe, once its reader has opened it.
+async fn opened(path: &str) -> File {
+    let path = path.to_string();
+    let opening = tokio::task::spawn_blocking(move || OpenOptions::new().write(true).open(path));
+    soon("a reader of the pipe", opening).await.expect("no panic").expect("a pipe")
+}
+
+async fn kill(child: &Child, signals: &[&str]) {
+    let id = child.id().expect("it runs").to_string();
+    for signal in signals {
+        let sent = Command::new("kill").args([signal, id.as_str()]).status().await.expect("kill");
+        assert!(sent.success());
+    }
+}
+
+impl Held {
+    /// Sends signals, one after another.
+    pub async fn signals(&self, names: &[&str]) {
+        kill(&self.child, names).await;
+    }
+
+    /// Gives it its configuration, and waits until it serves.
+    pub async fn go_on(self, config: &Value) -> Supervisor {
+        let Held { child, path, mut pipe } = self;
+        pipe.write_all(config.to_string().as_bytes()).expect("a reader");
+        drop(pipe);
+        Supervisor::watched(child, path).await
+    }
+
+    /// Gives it its configuration, and waits until it ends; its exit code and what it said.
+    pub async fn ends(self, config: &Value) -> (Option<i32>, String) {
+        let Held { child, mut pipe, .. } = self;
+        let _ = pipe.write_all(config.to_string().as_bytes());
+        drop(pipe);
+        let output = soon("the end of the program", child.wait_with_output()).await.expect("its output");
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    }
+}
+
 impl Supervisor {
     async fn started((mut command, path): (Command, String)) -> Self {
-        let mut child = command.spawn().expect("the program");
+        Supervisor::watched(command.spawn().expect("the program"), path).await
+    }
+
+    async fn watched(mut child: Child, path: String) -> Self {
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
@@ -160,9 +232,32 @@
     }
 
     async fn signal(&self, name: &str) {
-        let id = self.child.id().expect("it runs").to_string();
-        let sent = Command::new("kill").args([name, &id]).status().await.expect("kill");
-        assert!(sent.success());
+        kill(&self.child, &[name]).await;
+    }
+
+    /// Stops the process where it is: all that comes until it goes on comes at once.
+    pub async fn freeze(&self) {
+        self.signal("-STOP").await;
+        let stat = format!("/proc/{}/stat", self.child.id().expect("it runs"));
+        let stopped = || std::fs::read_to_string(&stat).expect("its state").contains(") T ");
+        until("the process to stand still", stopped).await;
+    }
+
+    /// Goes on, with these signals sent meanwhile, in this order.
+    pub async fn thaw(&self, signals: &[&str]) {
+        kill(&self.child, signals).await;
+        self.signal("-CONT").await;
+    }
+
+    /// Gives the next reload its configuration, where that is read out of a pipe.
+    pub async fn feed(&self, config: &Value) {
+        let mut pipe = opened(&self.path).await;
+        pipe.write_all(config.to_string().as_bytes()).expect("a reader");
+    }
+
+    /// Waits for its end; its exit code.
+    pub async fn ends(&mut self) -> Option<i32> {
+        soon("its end", self.child.wait()).await.expect("its status").code()
     }
 
     /// Replaces its configuration file and sends SIGHUP.
@@ -179,7 +274,7 @@
     /// Sends SIGTERM; its exit code.
     pub async fn terminate(&mut self) -> Option<i32> {
         self.signal("-TERM").await;
-        soon("the end after SIGTERM", self.child.wait()).await.expect("its status").code()
+        self.ends().await
     }
 
     /// Kills it outright.
--- a/crates/supervisor/src/http.rs
+++ b/crates/supervisor/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,12 +15,14 @@
 use tokio::time::timeout;
 
 use crate::ending::{Ending, Life};
+use crate::hub::Hub;
 
 /// Sends requests without a body on one connection.
 pub type Sender = SendRequest<Empty<Bytes>>;
 
 /// Opens a connection; it is driven, and leaves its log line, on its own. One that never came up leaves none.
 pub async fn open(
+    hub: &Rc<Hub>,
     peer: &'static str,
     name: String,
     address: SocketAddr,
@@ -39,8 +42,13 @@
             return Err(reason(&fault));
         }
     };
-    tokio::task::spawn_local(async move {
-        let end = connection.await.map_or_else(|fault| reason(&fault), |()| Ending::Closed);
+    let driving = hub.clone();
+    hub.drive(async move {
+        let end = tokio::select! {
+            biased;
+            () = driving.stopped() => Ending::Stopping,
+            end = connection => end.map_or_else(|fault| reason(&fault), |()| Ending::Closed),
+        };
         life.end(end);
     });
     Ok(sender)
@@ -67,6 +75,11 @@
     sender.send_request(request).await.map_err(|fault| reason(&fault))
 }
 
+/// What it means that a body did not come whole: its connection broke, or it is longer than allowed.
+pub fn cut(fault: &(dyn std::error::Error + Send + Sync + 'static)) -> Ending {
+    fault.downcast_ref::<hyper::Error>().map_or(Ending::TooLong, reason)
+}
+
 /// What an error of the connection means for whoever waits for an answer.
 pub fn reason(fault: &hyper::Error) -> Ending {
     if fault.is_parse() {
--- a/crates/supervisor/src/hub.rs
+++ b/crates/supervisor/src/hub.rs
@@ -2,12 +2,14 @@
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use chutegrade_engine::{Engine, ListWish, Micros, Report, StreamId, Unknown};
 use chutegrade_records::Kind;
 use tokio::sync::{watch, Notify};
+use tokio_util::task::TaskTracker;
 
 use crate::ending::{End, Ending};
 use crate::limits::Limits;
@@ -78,6 +80,8 @@
     streams_made: Cell<u64>,
     /// Turns true when the supervisor stops.
     pub stopping: watch::Sender<bool>,
+    /// The connections, each of which leaves its log line at its end.
+    pub connections: TaskTracker,
     /// What the decisions want of the list.
     pub wish: watch::Sender<ListWish>,
     dropped: RefCell<(u64, String)>,
@@ -95,6 +99,7 @@
             streams: RefCell::default(),
             streams_made: Cell::new(0),
             stopping: watch::channel(false).0,
+            connections: TaskTracker::new(),
             wish: watch::channel(ListWish::default()).0,
             dropped: RefCell::default(),
             book: OnceCell::new(),
@@ -132,10 +137,10 @@
         self.book.get().map_or(Duration::MAX, |book| length(book.due(self.clock.now())))
     }
 
-    /// Writes the last records.
-    pub fn close_book(&self) {
+    /// Writes the last records, as far as that takes no longer.
+    pub fn close_book(&self, within: Duration) {
         if let Some(book) = self.book.get() {
-            book.close();
+            book.close(within);
         }
     }
 
@@ -229,6 +234,11 @@
         });
     }
 
+    /// Runs a connection on its own, until its end.
+    pub fn drive(&self, connection: impl Future<Output = ()> + 'static) {
+        tokio::task::spawn_local(self.connections.track_future(connection));
+    }
+
     /// Ends once the supervisor stops.
     pub async fn stopped(&self) {
         let mut stopping = self.stopping.subscribe();
--- a/crates/supervisor/src/list.rs
+++ b/crates/supervisor/src/list.rs
@@ -140,7 +140,7 @@
     async fn ask(&self, path: &str) -> Result<Response<Incoming>, Ending> {
         let address = *self.address.borrow();
         let host = address.to_string();
-        let mut sender = http::open("discovery", path.to_string(), address, ANSWER_MOST).await?;
+        let mut sender = http::open(&self.hub, "discovery", path.to_string(), address, ANSWER_MOST).await?;
         let answer = timeout(ANSWER_MOST, http::get(&mut sender, &host, path)).await;
         let response = answer.unwrap_or(Err(Ending::TimedOut))?;
         if response.status().is_success() {
@@ -161,7 +161,7 @@
     async fn ask_whole(&mut self) -> Result<(), Ending> {
         let response = self.ask("/api/targets").await?;
         let body = timeout(SILENT_MOST, Limited::new(response.into_body(), LIST_MOST).collect()).await;
-        let body = body.map_err(|_| Ending::TimedOut)?.map_err(|_| Ending::CutShort)?.to_bytes();
+        let body = body.map_err(|_| Ending::TimedOut)?.map_err(|fault| http::cut(fault.as_ref()))?.to_bytes();
         let text = String::from_utf8(body.to_vec()).map_err(|_| Ending::Unreadable)?;
         self.tell(&text)
     }
--- a/crates/supervisor/src/listener.rs
+++ b/crates/supervisor/src/listener.rs
@@ -19,6 +19,7 @@
 use crate::ending::{End, Ending, Life};
 use crate::hub::Hub;
 use crate::lines::{send, Lines};
+use crate::servers::Servers;
 use crate::wire::{self, Hello, Message};
 
 /// The least connections that the system holds until they are accepted: all proxies of a fleet may dial at once, and
@@ -111,7 +112,15 @@
 }
 
 /// Accepts connections, with so many descriptors in all and that limit on a proxy's silence, until the supervisor stops.
-pub async fn serve(hub: Rc<Hub>, listener: TcpListener, sockets: usize, silence: Duration) {
+/// Where none is left, kept connections to servers are let go. Danger: these come back each second, and a proxy that dials
+/// would find none for good.
+pub async fn serve(
+    hub: Rc<Hub>,
+    listener: TcpListener,
+    servers: Rc<Servers>,
+    sockets: usize,
+    silence: Duration,
+) {
     let (proxies, zones) = hub.engine().size();
     let doors = Rc::new(Doors {
         strangers: Places::new(strangers(sockets, proxies, zones)),
@@ -123,13 +132,14 @@
         match listener.accept().await {
             Ok((stream, remote)) => {
                 failing = false;
-                let (hub, doors) = (hub.clone(), doors.clone());
-                tokio::task::spawn_local(async move { connection(&hub, &doors, stream, remote).await });
+                let (serving, doors) = (hub.clone(), doors.clone());
+                hub.drive(async move { connection(&serving, &doors, stream, remote).await });
             }
             Err(fault) => {
                 if !std::mem::replace(&mut failing, true) {
                     tracing::warn!(%fault, "no connection can be accepted now");
                 }
+                servers.let_go();
                 tokio::time::sleep(ACCEPT_AGAIN).await;
             }
         }
@@ -160,9 +170,11 @@
         turn_away(lines, write, &end, &place).await;
         Err(end)
     };
+    // The end first: whoever asks once the supervisor stops must not hear that it is in use.
     let Err(end) = tokio::select! {
-        end = served => end,
+        biased;
         () = hub.stopped() => Err(Ending::Stopping.into()),
+        end = served => end,
     };
     life.end(end);
 }
--- a/crates/supervisor/src/recording.rs
+++ b/crates/supervisor/src/recording.rs
@@ -3,7 +3,7 @@
 
 use std::cell::Cell;
 use std::path::PathBuf;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use chutegrade_background::Cost;
 use chutegrade_engine::{Engine, Micros};
@@ -102,10 +102,10 @@
         (self.gauge_due.get() - now).max(Micros(0))
     }
 
-    /// Writes what waits; a disk that hangs is not awaited for long.
-    pub fn close(&self) {
+    /// Writes what waits; a disk that hangs is awaited for no longer than this.
+    pub fn close(&self, within: Duration) {
         if let Some(recording) = self.recording.take() {
-            if !recording.close() {
+            if !recording.close_within(within) {
                 tracing::warn!("the last records may not have reached the disk");
             }
         }
--- a/crates/supervisor/src/serve.rs
+++ b/crates/supervisor/src/serve.rs
@@ -9,9 +9,10 @@
 use chutegrade_engine::{Engine, Micros, Report, ReportSource};
 use chutegrade_operator::{LogFormat, Operator};
 use chutegrade_records::{kind, pb, text, Kind};
+use tokio::runtime::Runtime;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use tokio::task::LocalSet;
+use tokio::task::{AbortHandle, JoinHandle, LocalSet};
 
 use crate::config::{self, Config, Reloaded, Source};
 use crate::hub::Hub;
@@ -19,23 +20,27 @@
 use crate::plugins::Plugins;
 use crate::recording::{self, Book};
 use crate::servers::Servers;
-use crate::{clients, list, listener};
+use crate::{clients, list, listener, servers};
 
 /// Time between two lines on dropped reports: a peer that names what is not known may do so a thousand times a second.
 const DROPPED_EVERY: Duration = Duration::from_secs(10);
-/// How long connections may take to leave their log lines once the supervisor stops.
-const LAST_WORDS: Duration = Duration::from_millis(100);
+/// How long connections may take to leave their log lines once the supervisor stops, and all of its end with the last
+/// records: SIGKILL follows no sooner than 0.7 s after SIGTERM.
+const LAST_WORDS: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(600));
 
 /// Serves until SIGTERM; a fault is one sentence and code 1.
 pub fn main(operator: Option<&Path>) -> ExitCode {
     let path = operator;
+    let begun = begin();
     let operator = path.map_or_else(|| Ok(Operator::default()), chutegrade_operator::load);
     log(operator.as_ref().map_or(LogFormat::Plain, |operator| operator.log));
     let operator = operator.map_err(|faults| sentence(&faults));
-    let started = operator.and_then(|operator| {
-        config::from_env().map_err(|fault| fault.to_string()).and_then(|told| start(told, &operator, path))
+    let served = begun.and_then(|(runtime, signals)| {
+        let operator = operator?;
+        let told = config::from_env().map_err(|fault| fault.to_string())?;
+        LocalSet::new().block_on(&runtime, run(told, signals, &operator, path))
     });
-    match started {
+    match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             tracing::error!("chutegrade cannot run: {fault}");
@@ -55,17 +60,28 @@
     }
 }
 
-fn start((config, source): (Config, Source), operator: &Operator, path: Option<&Path>) -> Result<(), String> {
+/// The signals that the program heeds: SIGTERM and SIGHUP.
+type Signals = (Signal, Signal);
+
+/// The runtime, and the signals before all else: one that nobody handles ends the program. Danger: SIGHUP may come to a
+/// process that has only begun to read its configuration.
+fn begin() -> Result<(Runtime, Signals), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|fault| format!("no runtime: {fault}"))?;
-    LocalSet::new().block_on(&runtime, run(config, source, operator, path))
+    let entered = runtime.enter();
+    let heed = |kind| signal(kind).map_err(|fault| format!("no signals: {fault}"));
+    let signals = (heed(SignalKind::terminate())?, heed(SignalKind::hangup())?);
+    drop(entered);
+    Ok((runtime, signals))
 }
 
 /// Wires the parts, and ends at SIGTERM, or with what failed.
-async fn run(config: Config, source: Source, operator: &Operator, path: Option<&Path>) -> Result<(), String> {
-    // Before all else: a signal that nobody handles ends the program.
-    let signals = |kind| signal(kind).map_err(|fault| format!("no signals: {fault}"));
-    let (mut terminate, replaced) = (signals(SignalKind::terminate())?, signals(SignalKind::hangup())?);
+async fn run(
+    (config, source): (Config, Source),
+    (mut terminate, replaced): Signals,
+    operator: &Operator,
+    path: Option<&Path>,
+) -> Result<(), String> {
     let listener = listener::bind(config.listen, config.settings.proxies)
         .map_err(|fault| format!("cannot listen at {}: {fault}", config.listen))?;
     let listen = listener.local_addr().map_err(|fault| format!("no address: {fault}"))?;
@@ -75,7 +91,8 @@
     let reports = config.settings.reports != ReportSource::None;
     let on_request = config.settings.list_on_request;
     let silence = clients::silence(length(config.settings.report_period));
-    let keep = length(config.settings.idle_close);
+    let within = (length(Micros::from_ms(config.connect_ms)), servers::answer_most(&config.settings.classes));
+    let servers = Servers::new(reports, within, length(config.settings.idle_close));
     let names = config.names;
     let period = config.settings.report_period;
     let mut engine = Engine::new(config.settings, config.seed, names.zones, names.classes, names.kinds);
@@ -89,7 +106,6 @@
     let (zones, classes) = hub.engine().vocabulary();
     let version = env!("CARGO_PKG_VERSION").to_string();
     hub.note(Kind::Started(pb::Started { version, listen: listen.to_string(), zones, classes }));
-    let servers = Servers::new(reports, length(Micros::from_ms(config.connect_ms)), keep);
     let known = config.known.map(|(index, known)| {
         let entries = match &known {
             Report::List(_, entries) => entries.clone(),
@@ -105,28 +121,39 @@
     let between = length(Micros::from_ms(config.tick_ms));
     // The first tick comes before the first connection is accepted: whoever gets an answer finds a supervisor that
     // has begun with the list it last had.
-    let ticking =
-        tokio::task::spawn_local(ticks(hub.clone(), servers, (plugins.clone(), limits.clone()), between));
+    let ticking = tokio::task::spawn_local(ticks(
+        hub.clone(),
+        servers.clone(),
+        (plugins.clone(), limits.clone()),
+        between,
+    ));
     let (moved, discovery) = watch::channel(config.discovery);
     let reloading =
         tokio::task::spawn_local(reloads(hub.clone(), replaced, source, moved, (plugins, limits)));
     let list = list::List::new(hub.clone(), discovery, known, on_request);
     let listing = tokio::task::spawn_local(list.run());
-    let serving = listener::serve(hub.clone(), listener, config.limits.sockets, silence);
+    let serving = listener::serve(hub.clone(), listener, servers, config.limits.sockets, silence);
     let serving = tokio::task::spawn_local(serving);
+    let parts = [&ticking, &reloading, &listing, &serving].map(JoinHandle::abort_handle);
     tracing::info!(name = config.name, %listen, discovery = %config.discovery, "started");
     // None of the four ends while all is well; one that did would leave a supervisor that only seems to serve.
     tokio::select! {
+        biased;
         _ = terminate.recv() => tracing::info!("stopping"),
         _ = ticking => return Err("the decisions have stopped".to_string()),
         _ = reloading => return Err("reading new configurations has stopped".to_string()),
         _ = listing => return Err("following the list has stopped".to_string()),
         _ = serving => return Err("accepting connections has stopped".to_string()),
     }
+    let told = Instant::now();
+    // From here on nothing is decided, asked or read anew, and nobody is let in: an order that nobody gets would stand in
+    // the records, and a probe would cost its server work for nothing.
+    parts.iter().for_each(AbortHandle::abort);
     hub.stopping.send_replace(true);
-    tokio::time::sleep(LAST_WORDS).await;
+    hub.connections.close();
+    let _ = tokio::time::timeout(LAST_WORDS.0, hub.connections.wait()).await;
     hub.note(Kind::Stopped(pb::Stopped { reason: "SIGTERM".to_string() }));
-    hub.close_book();
+    hub.close_book(LAST_WORDS.1.saturating_sub(told.elapsed()));
     Ok(())
 }
 
--- a/crates/supervisor/src/servers.rs
+++ b/crates/supervisor/src/servers.rs
@@ -6,23 +6,27 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use chutegrade_engine::{Load, Probe, ProbeEnd, Report};
+use chutegrade_engine::{Class, Load, Probe, ProbeEnd, Report};
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::ending::Ending;
 use crate::http::{self, Sender};
 use crate::hub::{micros, Hub};
+use crate::serve::length;
 use crate::wire;
 
-/// An answer to a probe is awaited for so long: one that waits behind requests comes far later than that, or
-/// never.
-const ANSWER_MOST: Duration = Duration::from_millis(300);
+/// An answer to a probe is awaited for this share of the shortest aim of any class: a server that takes longer for so little
+/// serves that class too late. And for a second at most, where aims are long or none: the next probe is due then.
+const ANSWER_SHARE: f64 = 0.5;
+const ANSWER_MOST: Duration = Duration::from_secs(1);
 /// Longest body of an answer, in bytes: a load report is one short line.
 const BODY_MOST: usize = 16 * 1024;
 /// A server that took no connection and was not tried again for so long is gone: many times the pause between probes.
 const TRIED_WITHIN: Duration = Duration::from_secs(60);
+/// Wait before a descriptor is looked for again: other probes are answered in less.
+const ROOM_AGAIN: Duration = Duration::from_millis(20);
 /// Probes under way at most, each a task made when it is due: the decisions ask a server once at a time, so that a list
 /// four times the largest fleet never has as many. What is due beyond is answered as an ending that says nothing of the server.
 const UNDER_WAY_MOST: usize = 4096;
@@ -31,22 +35,33 @@
 pub struct Servers {
     path: &'static str,
     connect_most: Duration,
+    answer_most: Duration,
     keep: Duration,
     kept: RefCell<HashMap<SocketAddr, (Sender, Instant)>>,
+    /// How many connections may be kept, and since when: there was no descriptor left then.
+    short: Cell<Option<(usize, Instant)>>,
     /// Those that took no connection, and when that was last tried.
     closed: RefCell<HashMap<SocketAddr, Instant>>,
     under_way: Cell<usize>,
 }
 
+/// How long an answer to a probe is awaited, by the aims of the classes.
+pub fn answer_most(classes: &[Class]) -> Duration {
+    let shortest = classes.iter().map(|class| length(class.aim)).filter(|aim| !aim.is_zero()).min();
+    shortest.map_or(ANSWER_MOST, |aim| aim.mul_f64(ANSWER_SHARE).min(ANSWER_MOST))
+}
+
 impl Servers {
     /// Probes by load report, where servers have them, else by health.
-    pub fn new(reports: bool, connect_most: Duration, keep: Duration) -> Rc<Self> {
+    pub fn new(reports: bool, (connect_most, answer_most): (Duration, Duration), keep: Duration) -> Rc<Self> {
         let path = if reports { "/-/load" } else { "/-/healthy" };
         Rc::new(Servers {
             path,
             connect_most,
+            answer_most,
             keep,
             kept: RefCell::default(),
+            short: Cell::default(),
             closed: RefCell::default(),
             under_way: Cell::new(0),
         })
@@ -67,20 +82,20 @@
         }
         self.under_way.set(self.under_way.get() + 1);
         tokio::task::spawn_local(async move {
-            let sent = Instant::now();
-            let (end, load) = servers.ask(&probe.address).await;
+            let mut sent = Instant::now();
+            let (end, load) = servers.asked(&hub, &probe.address, &mut sent).await;
             let took = micros(sent.elapsed());
             servers.under_way.set(servers.under_way.get().saturating_sub(1));
             hub.report(Report::Probed { probe, end, took, load });
         });
     }
 
-    async fn ask(&self, name: &str) -> (ProbeEnd, Load) {
+    /// How a server answers, and when that was asked which it answered.
+    async fn asked(&self, hub: &Rc<Hub>, name: &str, sent: &mut Instant) -> (ProbeEnd, Load) {
         let Ok(address) = name.parse::<SocketAddr>() else {
             return (ProbeEnd::Other, Load::default());
         };
-        let answer = timeout(self.connect_most + ANSWER_MOST, self.answer(address, name)).await;
-        match answer.unwrap_or(Err(Ending::TimedOut)) {
+        match self.answer(hub, address, name, sent).await {
             Ok((status, load)) if status.is_success() => (ProbeEnd::Done, load),
             // What a server says that drains or has too many probes; it lives.
             Ok((StatusCode::SERVICE_UNAVAILABLE, load)) => (ProbeEnd::Busy, load),
@@ -92,7 +107,13 @@
         }
     }
 
-    async fn answer(&self, address: SocketAddr, name: &str) -> Result<(StatusCode, Load), Ending> {
+    async fn answer(
+        &self,
+        hub: &Rc<Hub>,
+        address: SocketAddr,
+        name: &str,
+        sent: &mut Instant,
+    ) -> Result<(StatusCode, Load), Ending> {
         if let Some(kept) = self.take(address) {
             // A server may close a kept connection just as the next probe is sent: that says nothing of the server,
             // and a new connection does.
@@ -101,7 +122,8 @@
                 answer => return answer,
             }
         }
-        let sender = self.open(address, name).await?;
+        // Danger: with the time that a broken connection took, a quick server would pass for a slow one.
+        let sender = self.open(hub, address, name, sent).await?;
         self.answer_on(sender, address, name).await
     }
 
@@ -115,18 +137,52 @@
             let response = http::get(&mut sender, name, self.path).await?;
             let status = response.status();
             let body = Limited::new(response.into_body(), BODY_MOST).collect().await;
-            let body = body.map_err(|_| Ending::TooLong)?.to_bytes();
+            let body = body.map_err(|fault| http::cut(fault.as_ref()))?.to_bytes();
             Ok((status, wire::load_report(&String::from_utf8_lossy(&body))))
         };
-        let answer = timeout(ANSWER_MOST, ask).await.unwrap_or(Err(Ending::TimedOut))?;
+        let answer = timeout(self.answer_most, ask).await.unwrap_or(Err(Ending::TimedOut))?;
         self.kept.borrow_mut().insert(address, (sender, Instant::now()));
+        let short = self.short.get().filter(|(_, since)| since.elapsed() < self.keep);
+        short.into_iter().for_each(|(most, _)| self.keep_at_most(most));
         Ok(answer)
     }
 
+    /// There is no descriptor left: half of the kept connections go, and no more are kept for as long as one may be.
+    pub fn let_go(&self) {
+        let most = self.kept.borrow().len() / 2;
+        self.short.set(Some((most, Instant::now())));
+        self.keep_at_most(most);
+    }
+
+    /// Those not used for longest go first.
+    fn keep_at_most(&self, most: usize) {
+        let mut kept = self.kept.borrow_mut();
+        while kept.len() > most {
+            let oldest = kept.iter().min_by_key(|(_, (_, used))| *used).map(|(address, _)| *address);
+            oldest.and_then(|address| kept.remove(&address));
+        }
+    }
+
     /// Opens a connection; of a server that takes none, only the first try leaves a line. One that is not tried any more,
-    /// as after its removal, is forgotten.
-    async fn open(&self, address: SocketAddr, name: &str) -> Result<Sender, Ending> {
-        let opened = http::open("server", name.to_string(), address, self.connect_most).await;
+    /// as after its removal, is forgotten. Where no descriptor is left, kept ones are let go, and it is tried again for as
+    /// long as a connection may take. Danger: of more servers than descriptors, the same would never be asked.
+    async fn open(
+        &self,
+        hub: &Rc<Hub>,
+        address: SocketAddr,
+        name: &str,
+        sent: &mut Instant,
+    ) -> Result<Sender, Ending> {
+        let begun = Instant::now();
+        let opened = loop {
+            *sent = Instant::now();
+            let opened = http::open(hub, "server", name.to_string(), address, self.connect_most).await;
+            if !matches!(opened, Err(Ending::NoRoom)) || begun.elapsed() >= self.connect_most {
+                break opened;
+            }
+            self.let_go();
+            sleep(ROOM_AGAIN).await;
+        };
         let mut closed = self.closed.borrow_mut();
         match &opened {
             Ok(_) => {
--- a/crates/supervisor/src/servers/tests.rs
+++ b/crates/supervisor/src/servers/tests.rs
@@ -1,8 +1,20 @@
+use chutegrade_engine::{Engine, Settings};
+use chutegrade_standins::{Peer, Scripted};
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 use super::*;
 
+const WITHIN: (Duration, Duration) = (Duration::from_secs(5), Duration::from_millis(300));
+
+impl Servers {
+    async fn ask(&self, name: &str) -> (ProbeEnd, Load) {
+        let engine = Engine::new(Settings::default(), 0, vec![], vec![], vec![]);
+        self.asked(&Hub::new(engine), name, &mut Instant::now()).await
+    }
+}
+
 const WELL: &str = "HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\nTEXT queue=3";
 
 /// A server that gives these answers on each connection, then closes it at the next request; the ends of so many
@@ -22,7 +34,7 @@
                 let _ = stream.read(&mut request).await;
             }
         });
-        let servers = Servers::new(true, Duration::from_secs(5), Duration::from_secs(60));
+        let servers = Servers::new(true, WITHIN, Duration::from_secs(60));
         let mut seen = Vec::new();
         for _ in 0..probes {
             seen.push(servers.ask(&address).await);
@@ -55,7 +67,7 @@
 fn servers_that_are_gone_leave_nothing_behind() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let servers = Servers::new(true, Duration::from_secs(5), Duration::from_secs(60));
+        let servers = Servers::new(true, WITHIN, Duration::from_secs(60));
         let gone = |port: u16| (SocketAddr::from(([127, 0, 0, 1], port)), Instant::now() - 2 * TRIED_WITHIN);
         servers.closed.borrow_mut().extend((1..=20).map(gone));
         assert_eq!(servers.ask("127.0.0.1:21").await.0, ProbeEnd::Unreachable);
@@ -66,6 +78,69 @@
 #[test]
 fn an_address_that_is_none_says_nothing_of_the_server() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let servers = Servers::new(false, Duration::from_secs(5), Duration::from_secs(60));
+    let servers = Servers::new(false, WITHIN, Duration::from_secs(60));
     assert_eq!(runtime.block_on(servers.ask("nowhere")), (ProbeEnd::Other, Load::default()));
 }
+
+/// Two servers' worth of connections at one address: what the first probe leaves is kept, and the second one meets what
+/// `broken` does on it, then a good answer on a new one. How the second ended, how long it took by its own count, and since
+/// it began.
+fn after_a_broken_connection(
+    broken: impl AsyncFnOnce(&mut Peer) + 'static,
+) -> ((ProbeEnd, Load), Duration, Duration) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let script = Scripted::start().await;
+        let address = script.address.to_string();
+        tokio::task::spawn_local(async move {
+            let mut kept = script.asked_for("/-/load").await;
+            kept.answer(200, "TEXT queue=1").await;
+            assert!(kept.request().await.is_some());
+            broken(&mut kept).await;
+            kept.reset();
+            script.asked_for("/-/load").await.answer(200, "TEXT queue=3").await;
+        });
+        let engine = Engine::new(Settings::default(), 0, vec![], vec![], vec![]);
+        let (hub, servers) = (Hub::new(engine), Servers::new(true, WITHIN, Duration::from_secs(60)));
+        assert_eq!(servers.asked(&hub, &address, &mut Instant::now()).await.0, ProbeEnd::Done);
+        let begun = Instant::now();
+        let mut sent = begun;
+        let end = servers.asked(&hub, &address, &mut sent).await;
+        (end, sent.elapsed(), begun.elapsed())
+    })
+}
+
+/// Danger: half an answer on a connection that breaks would pass for a bad answer of a server that is well.
+#[test]
+fn half_an_answer_on_a_kept_connection_is_no_answer() {
+    let half = async |peer: &mut Peer| {
+        peer.raw(b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nTEXT qu").await;
+    };
+    let load = Load { queue: Some(3.0), ..Load::default() };
+    assert_eq!(after_a_broken_connection(half).0, (ProbeEnd::Done, load));
+    assert_eq!(after_a_broken_connection(async |_: &mut Peer| {}).0, (ProbeEnd::Done, load));
+}
+
+/// Danger: with the time that a broken connection took, a quick server would pass for a slow one.
+#[test]
+fn the_time_of_a_second_attempt_is_its_own() {
+    let held = Duration::from_millis(100);
+    let (end, took, all) =
+        after_a_broken_connection(async move |_: &mut Peer| tokio::time::sleep(held).await);
+    assert_eq!(end.0, ProbeEnd::Done);
+    assert!(took + held <= all, "{took:?} of {all:?}");
+}
+
+/// Danger: a time for probes that suits one customer's aims takes another's servers for dead, or waits too long for them.
+#[test]
+fn an_answer_is_awaited_by_the_shortest_aim() {
+    let of = |aims: &[i64]| {
+        let class = |aim: &i64| json!({"name": "c", "aimMs": aim});
+        let settings = json!({"classes": aims.iter().map(class).collect::<Vec<_>>()});
+        answer_most(&chutegrade_settings::from_json(&settings).expect("settings").classes).as_millis()
+    };
+    assert_eq!(
+        [of(&[1500, 600]), of(&[1000]), of(&[0, 500]), of(&[9000]), of(&[])],
+        [300, 500, 250, 1000, 1000]
+    );
+}
