The account of crossings has a channel made for the fleet as it grows

The property's channel is now made for all servers that its storms add; the other properties are as they were.

--- a/crates/supervisor/src/tests/rules.rs
+++ b/crates/supervisor/src/tests/rules.rs
@@ -38,6 +38,8 @@
     lost: f64,
     /// The channel may stand still for up to so many steps.
     stall: u32,
+    /// Servers beyond the first ones that the channel is made for.
+    more: u32,
     /// What happens, one after another, some steps apart.
     storms: Vec<(u32, Storm)>,
 }
@@ -140,7 +142,7 @@
     fn new(weather: Weather) -> World {
         let (proxies, servers) = (f64::from(weather.proxies), f64::from(weather.servers));
         // No order is divided: a whole table to one proxy, and a server shut out at all of them, are the least there is.
-        let table = f64::from(weather.head) + 8.0 + 4.0 * servers;
+        let table = f64::from(weather.head) + 8.0 + 4.0 * (servers + f64::from(weather.more));
         let least = (table / 0.6).max(proxies * (f64::from(weather.head) + 2.0) / 0.85);
         let backlog = (weather.backlog * least).ceil();
         let lines_per_s = (weather.fleets_per_s * proxies * table).ceil();
@@ -591,6 +593,7 @@
             pace,
             lost,
             stall,
+            more: 0,
             storms,
         },
     )
@@ -629,6 +632,7 @@
         pace: 1.0,
         lost: 0.0,
         stall: 0,
+        more: 0,
         storms: vec![],
     };
     let mut world = World::new(weather);
@@ -672,8 +676,10 @@
     /// that would run twice.
     #[test]
     fn whatever_crosses_in_a_turn_the_rules_are_kept(weather in weather(), storms in crossings(), pace in 0.2..1.0f64) {
+        // A channel made for the fleet as it grows: what it cannot carry within the grace no order of events mends.
+        let more = storms.iter().map(|(_, storm)| if let Storm::Grow(most) = storm { *most } else { 0 }).sum();
         let weather = Weather { backlog: 3.0 + weather.backlog, fleets_per_s: 2.0, pace, lost: 0.1 * weather.lost,
-            stall: 0, messages_most: 0, storms, ..weather };
+            stall: 0, messages_most: 0, more, storms, ..weather };
         World::new(weather).run(true)?;
     }
 }
