News read in part is asked for again five times in a row, whatever its versions

Seen by rereading: the count began anew with each version, so that with steady news and one entry that can never be read the list would have been asked for again from the same version for good, with ever more to tell. Now the row of such deliveries is counted.

--- a/crates/supervisor/src/list.rs
+++ b/crates/supervisor/src/list.rs
@@ -33,7 +33,7 @@
 const AGAIN: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
 /// A list that stays older than what is known for so long has begun to count anew: news is nowhere later than this.
 const BEHIND_MOST: Duration = Duration::from_secs(6);
-/// A version with entries that can't be read is asked for again until it was told so many times; then it holds without
+/// News with entries that can't be read is asked for again until it was told so many times in a row; then it holds without
 /// them, as what is told in the same words for good. The waits between take a second, well within news' 6 s.
 const SPOILT_MOST: u32 = 5;
 
@@ -56,8 +56,8 @@
     doubt: bool,
     /// Since when discovery tells what is older than what is known.
     behind: Option<Instant>,
-    /// The last version that was told with entries that can't be read, and how many times.
-    spoilt: (u64, u32),
+    /// How many times in a row news came with entries that can't be read.
+    spoilt: u32,
 }
 
 impl List {
@@ -80,7 +80,7 @@
             whole: false,
             doubt: false,
             behind: None,
-            spoilt: (0, 0),
+            spoilt: 0,
         }
     }
 
@@ -212,14 +212,16 @@
         if self.is_behind(*index, *whole) {
             return Ok(());
         }
-        let (index, spoilt) = (*index, *unreadable > 0);
+        let index = *index;
+        self.spoilt = if *unreadable > 0 { self.spoilt + 1 } else { 0 };
         let (kind, entries) = self.delivery(targets);
         self.hub.report(Report::List(kind, entries));
         // Danger: what an entry that can't be read told, a drain perhaps, is never told again to whoever asks for what
         // came after it.
-        if spoilt && self.is_asked_again(index) {
+        if (1..SPOILT_MOST).contains(&self.spoilt) {
             return Err(Ending::Unreadable);
         }
+        self.spoilt = 0;
         self.index = Some(index);
         Ok(())
     }
@@ -243,13 +245,6 @@
         (if complete { ListKind::Complete } else { ListKind::Changes }, entries)
     }
 
-    /// Whether a version with entries that can't be read is asked for once more.
-    fn is_asked_again(&mut self, index: u64) -> bool {
-        let times = if self.spoilt.0 == index { self.spoilt.1 + 1 } else { 1 };
-        self.spoilt = (index, times);
-        times < SPOILT_MOST
-    }
-
     /// Whether a version is older than what is known. Danger: an agent that lags, as one at a new address may, tells of
     /// a server that drains as if it were up.
     fn is_behind(&mut self, index: u64, whole: bool) -> bool {
