Parts leave room in the grace for drains, which hold up the last first tables

Four of five supervisors die, all 2,472 proxies join one; first tables take the whole grace by rows_in_grace (interface.rs), drains go ahead of them, and the last proxies are bound after the grace of what their old tables named. Ruled out earlier by the channel's account: streams ended, marks lost.

Change: rows_in_grace is a decision and moves into the module. One message of drains to each proxy (head, mark, the server) is taken off the width, and parts are counted in whole rows: by rounding the mean part was wider than the bound.

--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -255,22 +255,6 @@
     pub fall_window: Micros,
 }
 
-impl Settings {
-    /// Rows of a table for each proxy of the fleet, if all join one instance and their tables leave its channel within the
-    /// drains' grace; the rest of a message are its head, the mark, the word that the table is whole, and levels. Any number
-    /// where the grace is not even as long as the way: no table would be small enough.
-    pub fn rows_in_grace(&self) -> f64 {
-        let time = (self.drain_grace - self.way_most).secs();
-        let lines = self.lines_per_s * time / self.proxies.max(1) as f64;
-        let rows = lines - self.message_head - 2.0 - self.classes.len() as f64;
-        if time > 0.0 {
-            rows
-        } else {
-            f64::INFINITY
-        }
-    }
-}
-
 /// What the list says of a server's life.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Lifecycle {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -9,6 +9,7 @@
 use crate::interface::*;
 use crate::state::*;
 
+mod queries;
 mod view;
 
 /// Length of a tick. The design starts at 1 s and leaves it open: half of it halves the time to act.
@@ -92,6 +93,9 @@
 const NARROW_FROM: (f64, Micros) = (0.3, Micros(30_000_000));
 /// To so many proxies, and at least so many servers, each.
 const NARROW_TO: (f64, f64) = (2.0, 5.0);
+/// Lines beside head, rows and levels: of a whole table (mark, `replace`); of a drain (mark, the server).
+const TABLE_LINES: f64 = 2.0;
+const DRAIN_LINES: f64 = 2.0;
 /// What each kind of order may fill, first ones first: shares of the backlog, of the message limit, and of
 /// what the channel sends in the drains' grace, beyond the way. Danger: drains behind a long queue are late.
 const DRAINS: Fill = (0.9, 1.0, f64::INFINITY);
@@ -242,20 +246,6 @@
         out
     }
 
-    fn open(&self) -> impl Iterator<Item = (&ServerId, &Server)> + Clone {
-        self.servers.iter().filter(|(_, server)| server.open())
-    }
-
-    /// The median of what open servers show: of a zone's, if enough do, else of the fleet's.
-    fn median(&self, zone: Option<ZoneId>, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
-        let shown = |zone: Option<ZoneId>| -> Vec<f64> {
-            let near = self.open().filter(|(_, s)| zone.is_none_or(|zone| zone == s.entry.zone));
-            near.filter_map(|(_, server)| of(server)).collect()
-        };
-        let near = zone.map(|zone| shown(Some(zone))).filter(|near| near.len() >= LINK_LEAST);
-        quantile(near.unwrap_or_else(|| shown(None)).into_iter(), 0.5)
-    }
-
     // ---- Registry view and evidence ----
 
     fn take(&mut self, now: Micros, event: &Event) {
@@ -470,10 +460,6 @@
         usual
     }
 
-    fn zones(&self) -> impl Iterator<Item = ZoneId> + use<> {
-        (0..self.settings.zones.max(1) as u16).map(ZoneId)
-    }
-
     /// Danger: while nobody has work for the servers, what probes take passes for a usual speed that is none.
     fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
         let wanted = self.settings.probes && !self.proxies.is_empty();
@@ -756,10 +742,11 @@
         let (proxies, servers) = (self.settings.proxies as f64 / sets, servers / sets);
         if self.usual_parts == 0 {
             let rate = self.proxies.values().map(Proxy::rate).sum::<f64>() / joined;
-            // Danger: all may join here at once, and what is gone stays in old tables while new ones wait.
-            let rows = (self.settings.rows_in_grace() / (sets + f64::from(by_zone))).max(NARROW_TO.1);
-            let kept = (rate * self.settings.idle_close.secs() / REUSE).max(PART_LEAST).min(rows);
-            self.usual_parts = (servers / kept).round().max(1.0) as usize;
+            let rows = (self.rows_in_grace() / (sets + f64::from(by_zone))).max(NARROW_TO.1);
+            let kept = (rate * self.settings.idle_close.secs() / REUSE).max(PART_LEAST);
+            // Whole rows where the grace is what binds: half a row more at all proxies would be late.
+            let least = (servers / rows.floor()).ceil().max(1.0);
+            self.usual_parts = (servers / kept).round().max(least) as usize;
         }
         let narrow = (proxies / NARROW_TO.0).min(servers / NARROW_TO.1) as usize;
         let narrowed = self.narrowed.is_some_and(|at| now - at < NARROW_FROM.1);
@@ -774,11 +761,20 @@
         }
     }
 
-    /// Share of the message limit in use at the fullest of these proxies, this turn's message counted.
-    fn messages_used<'a>(&self, proxies: impl Iterator<Item = &'a ProxyId>) -> f64 {
-        let written = proxies.filter_map(|id| Some(self.proxies.get(id)?.written.len() + 1)).max();
-        let most = Some(self.settings.messages_most).filter(|most| *most > 0);
-        most.map_or(0.0, |most| written.unwrap_or(1) as f64 / most as f64)
+    /// Rows of tables for each proxy of the fleet, if all join here at once and no table may be late: what is
+    /// gone stays in old tables while new ones wait, and drains, which go first, hold up the last ones.
+    fn rows_in_grace(&self) -> f64 {
+        let settings = &self.settings;
+        let time = (settings.drain_grace - settings.way_most).secs();
+        let lines = settings.lines_per_s * time / settings.proxies.max(1) as f64;
+        let first_table = settings.message_head + TABLE_LINES + settings.classes.len() as f64;
+        let drain = settings.message_head + DRAIN_LINES;
+        // A grace shorter than the way itself can't be met by any table: none is narrowed for it.
+        if time > 0.0 {
+            lines - first_table - drain
+        } else {
+            f64::INFINITY
+        }
     }
 
     /// Drains kept: a server that drains or is gone is shut out of all tables at once, whatever they name.
@@ -838,10 +834,7 @@
         let lean = |zone: ZoneId| (zone, self.lean(zone, &can, &comes));
         let lean: BTreeMap<ZoneId, Zones> = self.zones().map(lean).collect();
         let dealt = dealt(&self.servers, self.parts);
-        let mut on: BTreeMap<(ZoneId, usize), Vec<ProxyId>> = BTreeMap::new();
-        for (id, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.bound) {
-            on.entry((proxy.zone, proxy.part)).or_default().push(*id);
-        }
+        let on = self.bound_proxies();
         for scheme in self.schemes.clone() {
             let lean = lean.get(&scheme.zone).unwrap_or(&whole);
             // A cold server that only its own zone's tables name meets no more than that zone's traffic.
--- /dev/null
+++ b/crates/policy/src/policy/queries.rs
@@ -0,0 +1,46 @@
+//! Read-only queries over the state of an instance. Nothing here decides or changes anything.
+
+use std::collections::BTreeMap;
+
+use crate::interface::*;
+use crate::state::{quantile, Server};
+
+use super::{Policy, LINK_LEAST};
+
+impl Policy {
+    /// Servers that may be given requests.
+    pub(super) fn open(&self) -> impl Iterator<Item = (&ServerId, &Server)> + Clone {
+        self.servers.iter().filter(|(_, server)| server.open())
+    }
+
+    /// The zones of the deployment.
+    pub(super) fn zones(&self) -> impl Iterator<Item = ZoneId> + use<> {
+        (0..self.settings.zones.max(1) as u16).map(ZoneId)
+    }
+
+    /// The median of what open servers show: of a zone's, if enough do, else of the fleet's.
+    pub(super) fn median(&self, zone: Option<ZoneId>, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
+        let shown = |zone: Option<ZoneId>| -> Vec<f64> {
+            let near = self.open().filter(|(_, s)| zone.is_none_or(|zone| zone == s.entry.zone));
+            near.filter_map(|(_, server)| of(server)).collect()
+        };
+        let near = zone.map(|zone| shown(Some(zone))).filter(|near| near.len() >= LINK_LEAST);
+        quantile(near.unwrap_or_else(|| shown(None)).into_iter(), 0.5)
+    }
+
+    /// Proxies that hold tables of this instance, by their zone and their part of the fleet.
+    pub(super) fn bound_proxies(&self) -> BTreeMap<(ZoneId, usize), Vec<ProxyId>> {
+        let mut bound: BTreeMap<(ZoneId, usize), Vec<ProxyId>> = BTreeMap::new();
+        for (id, proxy) in self.proxies.iter().filter(|(_, proxy)| proxy.bound) {
+            bound.entry((proxy.zone, proxy.part)).or_default().push(*id);
+        }
+        bound
+    }
+
+    /// Share of the message limit in use at the fullest of these proxies, this turn's message counted.
+    pub(super) fn messages_used<'a>(&self, proxies: impl Iterator<Item = &'a ProxyId>) -> f64 {
+        let written = proxies.filter_map(|id| Some(self.proxies.get(id)?.written.len() + 1)).max();
+        let most = Some(self.settings.messages_most).filter(|most| *most > 0);
+        most.map_or(0.0, |most| written.unwrap_or(1) as f64 / most as f64)
+    }
+}
