Saturation counts each server by the work it takes, so that idle cold ones hide no jam

Six in ten servers are cold; ten seconds after the release the 48 warm ones have 13 to 21 requests waiting each (busy 0.57 to 0.79, probes 4.5 times their usual), the 72 cold ones are held out and idle (busy 0.00, 0.7 times). The fleet refuses 0.26 to 0.31 and the log says 'queues 0.16 probes 0.05'. By then 37 % of the requests time out. Ruled out: the supervisors' own lag (probes' median time is the same from 1 to 9 s, ticks take 3 ms), refusals that the channel holds back (levels left within the tick).

Lines at fault: in admit() the mean of the queues, and the median of the probes' slowing, count a server held out of all tables like one that works. Change: both count by the capacity that a server is sure to have, and nothing for a cold one that is held out while warm ones are there (policy/queries.rs). No figure is changed.

Tests: two in admission.rs, by queues and by probes; both red where all count alike (levels 0.6 and 1.0).

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -617,17 +617,18 @@
     /// The fleet's headroom decides what share is let in: by reported saturation, else by tries that fail or
     /// are late. Danger: clients come again, and a fleet once full stays full. No level outlasts its cause.
     fn admit(&mut self, elapsed: f64, zones: &References, mute: f64, out: &mut Vec<Action>) {
-        let told = self.open().filter(|(_, s)| s.busy.weight > 0.1).map(|(_, s)| s.busy.sum / s.busy.weight);
-        let (busy, told) = told.fold((0.0, 0.0), |(all, n), one| ((all * n + one) / (n + 1.0), n + 1.0));
+        // Each counts by the work it takes: cold ones that idle would hide that all the others are full.
+        let queued = |s: &Server| (s.busy.weight > 0.1).then(|| s.busy.sum / s.busy.weight);
+        let busy = self.mean_over_work(queued);
         let aims: f64 = self.settings.classes.iter().map(|class| class.aim.secs() * 1000.0).sum();
         let aim = (aims / self.settings.classes.len().max(1) as f64).max(1.0);
         let failing = |zone: &(f64, f64)| clamp01(zone.0 / ERROR_BUDGET).max(full(zone.1 / aim, LATE));
         // A queue is told only when every answer is late: probe times and time-outs show what waits before.
         // Danger: the own trouble of some, which have less weight for it, would pass for a common jam.
         let well = |s: &Server| s.loaded().filter(|_| s.state == State::Full && s.speed.service.sum > 0.0);
-        let shared = full(self.median(None, well).unwrap_or(1.0), BUSY_STRETCH);
+        let shared = full(self.median_over_work(well).unwrap_or(1.0), BUSY_STRETCH);
         let failing = quantile(zones.values().map(failing), 0.5).unwrap_or(0.0);
-        let term = if told > 0.0 { busy.max(shared).max(mute) } else { failing };
+        let term = busy.map_or(failing, |busy| busy.max(shared).max(mute));
         let admission = &mut self.admission;
         admission.came.iter_mut().for_each(|came| came.fade(elapsed, 2.0 * EVIDENCE_HALF_LIFE));
         admission.strain = -smooth(-admission.strain, -term);
@@ -636,7 +637,13 @@
         let step = |refused: f64| (10.0 * refused).round();
         if step(refused) != step(admission.refused) && self.settings.levels != LevelKind::Silent {
             let strain = admission.strain;
-            out.push(Action::Note(Note::Saturation { refused, strain, queues: busy, probes: shared, mute }));
+            out.push(Action::Note(Note::Saturation {
+                refused,
+                strain,
+                queues: busy.unwrap_or(0.0),
+                probes: shared,
+                mute,
+            }));
         }
         admission.refused = refused;
     }
@@ -914,16 +921,8 @@
 
     /// Puts proxies, busiest first, on the parts with most room, as the channel takes them, or moves them.
     fn bind_joined(&mut self, orders: &mut Orders) {
-        // By zone, where zones have their own tables, and part: its servers' weight, its proxies' traffic.
         let set = |zone: ZoneId| if leans(&self.settings) { zone } else { ZoneId::default() };
-        let mut room: BTreeMap<(ZoneId, usize), (f64, f64)> = BTreeMap::new();
-        for (_, server) in self.open().filter(|_| self.parts > 0) {
-            let part = (set(server.entry.zone), server.dealt % self.parts);
-            room.entry(part).or_default().0 += server.weight;
-        }
-        for proxy in self.proxies.values().filter(|proxy| proxy.bound) {
-            room.entry((set(proxy.zone), proxy.part)).or_default().1 += proxy.rate();
-        }
+        let mut room = self.weight_and_traffic(set);
         let brings = shares(self.proxies.values().map(|proxy| (set(proxy.zone), proxy.rate())));
         let all = self.proxies.values().map(Proxy::rate).sum::<f64>();
         // With a table goes what was seen to leave here, with a further one all. Danger: uncounted lines.
--- a/crates/policy/src/policy/queries.rs
+++ b/crates/policy/src/policy/queries.rs
@@ -28,6 +28,36 @@
         quantile(near.unwrap_or_else(|| shown(None)).into_iter(), 0.5)
     }
 
+    /// What open servers show, with the share of work that each takes: the capacity that it is sure to have, and none for
+    /// a cold one that is held out of tables while there are warm ones.
+    fn shown_at_work(&self, of: impl Fn(&Server) -> Option<f64>) -> Vec<(f64, f64)> {
+        let warm_ones = self.open().any(|(_, server)| server.warmth >= 1.0);
+        let held_out = |server: &Server| self.cold_out && warm_ones && server.warmth < 1.0;
+        let at_work = self.open().filter(|(_, server)| !held_out(server));
+        at_work.filter_map(|(_, server)| Some((of(server)?, server.warmth * server.size()))).collect()
+    }
+
+    /// The mean of what open servers show, by the work that each takes.
+    pub(super) fn mean_over_work(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
+        let shown = self.shown_at_work(of);
+        let work: f64 = shown.iter().map(|(_, work)| work).sum();
+        let sum: f64 = shown.iter().map(|(value, work)| value * work).sum();
+        (work > 0.0).then(|| sum / work)
+    }
+
+    /// The median of what open servers show, by the work that each takes.
+    pub(super) fn median_over_work(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
+        let mut shown = self.shown_at_work(of);
+        shown.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let half = shown.iter().map(|(_, work)| work).sum::<f64>() / 2.0;
+        let mut below = 0.0;
+        let middle = shown.iter().find(|(_, work)| {
+            below += work;
+            below >= half
+        });
+        middle.map(|(value, _)| *value)
+    }
+
     /// Proxies that hold tables of this instance, by their zone and their part of the fleet.
     pub(super) fn bound_proxies(&self) -> BTreeMap<(ZoneId, usize), Vec<ProxyId>> {
         let mut bound: BTreeMap<(ZoneId, usize), Vec<ProxyId>> = BTreeMap::new();
@@ -37,6 +67,22 @@
         bound
     }
 
+    /// By set of zones that share tables, and by part of the fleet: its servers' weight and its bound proxies' traffic.
+    pub(super) fn weight_and_traffic(
+        &self,
+        set: impl Fn(ZoneId) -> ZoneId,
+    ) -> BTreeMap<(ZoneId, usize), (f64, f64)> {
+        let mut sums: BTreeMap<(ZoneId, usize), (f64, f64)> = BTreeMap::new();
+        for (_, server) in self.open().filter(|_| self.parts > 0) {
+            let part = (set(server.entry.zone), server.dealt % self.parts);
+            sums.entry(part).or_default().0 += server.weight;
+        }
+        for proxy in self.proxies.values().filter(|proxy| proxy.bound) {
+            sums.entry((set(proxy.zone), proxy.part)).or_default().1 += proxy.rate();
+        }
+        sums
+    }
+
     /// Share of the message limit in use at the fullest of these proxies, this turn's message counted.
     pub(super) fn messages_used<'a>(&self, proxies: impl Iterator<Item = &'a ProxyId>) -> f64 {
         let written = proxies.filter_map(|id| Some(self.proxies.get(id)?.written.len() + 1)).max();
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -178,3 +178,36 @@
         assert!(world.levels.values().all(|level| *level == 1.0), "{:?}", world.levels);
     }
 }
+
+/// A fleet whose proxies avoid failing servers: twelve of its twenty servers were replaced by cold ones.
+fn mostly_replaced() -> World {
+    let mut world = World::new(Settings { proxy_ejects_after: 3, ..two_classes() }, 20, 4);
+    world.run(8, &unqueued(0..20));
+    let started = Some(world.now);
+    let mut changes: Vec<Entry> = (0..12).map(|id| Entry { life: Lifecycle::Gone, ..entry(id) }).collect();
+    changes.extend((20..32).map(|id| Entry { started, ..entry(id) }));
+    world.send(&[Event::Members(ListKind::Changes, changes)]);
+    world
+}
+
+/// Seen on days of mass replacement: cold servers were held out of tables and idled, and the mean queue of all told of
+/// headroom while each server that took work had twenty requests waiting.
+#[test]
+fn cold_servers_that_idle_do_not_hide_the_queues_of_those_that_work() {
+    let mut world = mostly_replaced();
+    let full = Load { queue: Some(20.0), latency_ms: Some(100.0), ..Load::default() };
+    let tallies: Vec<Event> = (12..20).map(|id| reporting(heard(id, 8.0, 2.0, 900.0), full)).collect();
+    world.run(6, &[tallies, unqueued(20..32)].concat());
+    assert!(world.levels[&0] <= 0.2, "{:?}", world.levels);
+}
+
+/// The same by the time of probes, which tells before a queue does: the median of all was that of the idle ones.
+#[test]
+fn cold_servers_that_idle_do_not_hide_that_probes_of_the_others_wait() {
+    let mut world = mostly_replaced();
+    world.run(5, &unqueued(12..32));
+    world.slow_probes.extend(12..20);
+    world.slowness = 4;
+    world.run(4, &unqueued(12..32));
+    assert!(world.levels[&0] <= 0.5, "{:?}", world.levels);
+}
