Probes of a tick go out one after the other, so that none waits for another here

Times of all probes printed: 120 are sent in the same millisecond once a second, the answers come together, and took grows from 5.5 to 10 ms within one burst, in the order in which they are read. The supervisor's own processor time passes for slow servers; what is usual was learned when it was quicker. Ruled out: slow servers (queues 0.01), the length of ticks (3 ms), mute probes (0.00).

Lines at fault: hand_out() in serve.rs starts all probes at once. Change: they are spread evenly over half of the time to the next timer, so that answers are there when it rings. None is sent any more once the supervisor stops.

Tests: the_probes_of_a_tick_are_spread_over_the_time_they_are_given and probes_that_wait_are_not_sent_once_the_supervisor_stops, both red without (on a paused clock). a_proxy_to_which_few_requests_come_keeps_its_stream failed in 4 of 8 runs after the change: probes timed one by one move a weight now and then, and its proxy left the mark of that order unanswered, for which a stream is rightly ended. Its proxy answers marks now, as any does, and the stream must not end at any moment of the 7 s: 6 runs of 6.

--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
+use std::time::Duration;
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpSocket, TcpStream};
@@ -145,9 +146,22 @@
         while !holds(self) {
             let line =
                 soon(what, self.peer.line()).await.unwrap_or_else(|| panic!("the stream ended: {what}"));
-            if let Some(mark) = self.tables.apply(&line).expect("an order that the protocol allows") {
-                self.peer.send(&format!("ack id={} seq={mark} ms=12.5", self.id)).await;
-            }
+            self.follow(&line).await;
+        }
+    }
+
+    /// Applies whatever comes for so long; the stream must not end.
+    pub async fn applies_for(&mut self, length: Duration) {
+        let end = tokio::time::Instant::now() + length;
+        while let Ok(line) = tokio::time::timeout_at(end, self.peer.line()).await {
+            self.follow(&line.expect("a stream that goes on")).await;
+        }
+    }
+
+    /// Applies a message and answers its mark.
+    async fn follow(&mut self, line: &str) {
+        if let Some(mark) = self.tables.apply(line).expect("an order that the protocol allows") {
+            self.peer.send(&format!("ack id={} seq={mark} ms=12.5", self.id)).await;
         }
     }
 
--- a/crates/supervisor/src/serve.rs
+++ b/crates/supervisor/src/serve.rs
@@ -28,6 +28,9 @@
 /// records: SIGKILL follows no sooner than 0.7 s after SIGTERM.
 const LAST_WORDS: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(600));
 
+/// Probes are spread over this share of the time to the next timer, so that their answers are there when it rings.
+const PROBES_SPREAD: f64 = 0.5;
+
 /// Serves until SIGTERM; a fault is one sentence and code 1.
 pub fn main(operator: Option<&Path>) -> ExitCode {
     let path = operator;
@@ -202,7 +205,8 @@
         plugins.turn(&hub);
         limits.turn(&hub);
         let next = hub.engine().tick(now);
-        hand_out(&hub, &servers);
+        let until_next = next.map_or(Duration::ZERO, |next| length(next - now));
+        hand_out(&hub, &servers, until_next.mul_f64(PROBES_SPREAD));
         hub.note_series(&limits);
         if told.elapsed() >= DROPPED_EVERY {
             told = Instant::now();
@@ -225,16 +229,14 @@
     Duration::from_micros(u64::try_from(micros.0).unwrap_or_default())
 }
 
-fn hand_out(hub: &Rc<Hub>, servers: &Rc<Servers>) {
+/// Hands out what the tick ordered; probes are sent one after the other within a time.
+fn hand_out(hub: &Rc<Hub>, servers: &Rc<Servers>, probes_within: Duration) {
     let reached = hub.engine().pick_streams();
     for stream in reached {
         hub.ring(stream);
     }
-    loop {
-        let probe = hub.engine().pick_probe();
-        let Some(probe) = probe else { break };
-        servers.probe(hub, probe);
-    }
+    let probes = std::iter::from_fn(|| hub.engine().pick_probe()).collect();
+    servers.probe_spread(hub, probes, probes_within);
     let wish = hub.engine().pick_list();
     hub.wish_list(wish);
     let now = hub.clock.now();
--- a/crates/supervisor/src/servers.rs
+++ b/crates/supervisor/src/servers.rs
@@ -67,8 +67,19 @@
         })
     }
 
-    /// Starts one probe; its result is reported.
-    pub fn probe(self: &Rc<Self>, hub: &Rc<Hub>, probe: Probe) {
+    /// Starts these probes, spread evenly over a time; each result is reported. Sent at once, the answers of hundreds of
+    /// servers arrive together, and what the last of them wait for in this process would pass for slow servers.
+    pub fn probe_spread(self: &Rc<Self>, hub: &Rc<Hub>, probes: Vec<Probe>, over: Duration) {
+        let pause = over / u32::try_from(probes.len().max(1)).unwrap_or(u32::MAX);
+        let mut delay = Duration::ZERO;
+        for probe in probes {
+            self.probe(hub, probe, delay);
+            delay += pause;
+        }
+    }
+
+    /// Sends one probe after a delay; its result is reported.
+    fn probe(self: &Rc<Self>, hub: &Rc<Hub>, probe: Probe, delay: Duration) {
         let (servers, hub) = (self.clone(), hub.clone());
         if self.under_way.get() >= UNDER_WAY_MOST {
             let other = Report::Probed {
@@ -82,11 +93,15 @@
         }
         self.under_way.set(self.under_way.get() + 1);
         tokio::task::spawn_local(async move {
-            let mut sent = Instant::now();
-            let (end, load) = servers.asked(&hub, &probe.address, &mut sent).await;
-            let took = micros(sent.elapsed());
+            // Nothing is asked once the supervisor stops.
+            let due = timeout(delay, hub.stopped()).await.is_err();
+            if due {
+                let mut sent = Instant::now();
+                let (end, load) = servers.asked(&hub, &probe.address, &mut sent).await;
+                let took = micros(sent.elapsed());
+                hub.report(Report::Probed { probe, end, took, load });
+            }
             servers.under_way.set(servers.under_way.get().saturating_sub(1));
-            hub.report(Report::Probed { probe, end, took, load });
         });
     }
 
--- a/crates/supervisor/src/servers/tests.rs
+++ b/crates/supervisor/src/servers/tests.rs
@@ -1,4 +1,4 @@
-use chutegrade_engine::{Engine, Settings};
+use chutegrade_engine::{Engine, ListKind, Listed, Settings, StreamId};
 use chutegrade_standins::{Peer, Scripted};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -144,3 +144,85 @@
         [300, 500, 250, 1000, 1000]
     );
 }
+
+/// So many servers without an address that can be dialled, one joined proxy, and the probes that the first tick orders.
+fn ordered_probes(servers: usize) -> (Rc<Hub>, Vec<Probe>) {
+    let settings = json!({"classes": [{"name": "lookup", "aimMs": 600}], "zones": ["a"],
+        "limits": {"probes": true}, "familyInfo": {"proxies": 1, "backlog": 9000, "linesPerS": 6000}});
+    let settings = chutegrade_settings::from_json(&settings).expect("settings");
+    let names = |name: &str| vec![name.to_string()];
+    let mut engine = Engine::new(settings, 0, names("a"), names("lookup"), names("m"));
+    let listed = |server: usize| Listed {
+        name: format!("s{server}"),
+        address: "nowhere".to_string(),
+        zone: "a".to_string(),
+        kind: "m".to_string(),
+        weight: 1.0,
+        ..Listed::default()
+    };
+    let list = Report::List(ListKind::Complete, (0..servers).map(listed).collect());
+    assert_eq!(engine.report(list), Ok(()));
+    let joined = Report::Joined { stream: StreamId(1), proxy: 0, zone: "a".into(), rate: 5.0, new: true };
+    assert_eq!(engine.report(joined), Ok(()));
+    let hub = Hub::new(engine);
+    let now = hub.clock.now();
+    hub.engine().tick(now);
+    let probes: Vec<Probe> = std::iter::from_fn(|| hub.engine().pick_probe()).collect();
+    assert_eq!(probes.len(), servers);
+    (hub, probes)
+}
+
+fn paused_runtime() -> tokio::runtime::Runtime {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    runtime.enable_all().start_paused(true).build().expect("a runtime")
+}
+
+/// Lets every task run that is due now, and a length of the runtime's paused time pass.
+async fn pass(length: Duration) {
+    tokio::time::advance(length).await;
+    for _ in 0..1000 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Seen on a busy machine: 120 probes sent at once waited for each other in this process, the whole fleet passed for saturated,
+/// and two thirds of its requests were refused.
+#[test]
+fn the_probes_of_a_tick_are_spread_over_the_time_they_are_given() {
+    let (hub, probes) = ordered_probes(100);
+    tokio::task::LocalSet::new().block_on(&paused_runtime(), async {
+        let servers = Servers::new(true, WITHIN, Duration::from_secs(60));
+        servers.probe_spread(&hub, probes, Duration::from_millis(200));
+        pass(Duration::ZERO).await;
+        for answered in [0, 25, 50, 75] {
+            let waiting = servers.under_way.get();
+            assert!(
+                (98 - answered..=100 - answered).contains(&waiting),
+                "{waiting} wait, {answered} had time"
+            );
+            pass(Duration::from_millis(50)).await;
+        }
+        pass(Duration::from_millis(2)).await;
+        assert_eq!(servers.under_way.get(), 0, "all were sent within their time");
+        assert_eq!(hub.take_dropped().0, 0, "each result was reported");
+    });
+}
+
+/// Danger: a probe that is still waiting would be sent after SIGTERM, and cost its server work for nothing.
+#[test]
+fn probes_that_wait_are_not_sent_once_the_supervisor_stops() {
+    let (hub, mut probes) = ordered_probes(100);
+    tokio::task::LocalSet::new().block_on(&paused_runtime(), async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        listener.set_nonblocking(true).expect("a listener that does not wait");
+        let address = listener.local_addr().expect("an address").to_string();
+        let servers = Servers::new(true, WITHIN, Duration::from_secs(60));
+        probes.iter_mut().for_each(|probe| probe.address.clone_from(&address));
+        servers.probe_spread(&hub, probes, Duration::from_millis(200));
+        hub.stopping.send_replace(true);
+        pass(Duration::from_millis(300)).await;
+        assert_eq!(servers.under_way.get(), 0, "none waits any more");
+        let dialled = listener.accept().map_err(|fault| fault.kind());
+        assert_eq!(dialled.err(), Some(std::io::ErrorKind::WouldBlock), "nobody dialled");
+    });
+}
--- a/crates/supervisor/tests/serving.rs
+++ b/crates/supervisor/tests/serving.rs
@@ -461,7 +461,8 @@
     let mut proxy = joined(&supervisor, 0).await;
     tokio::time::sleep(std::time::Duration::from_secs(2)).await;
     proxy.demand().await;
-    tokio::time::sleep(std::time::Duration::from_secs(7)).await;
+    // A weight that moves meanwhile brings a mark, which it answers like any proxy.
+    proxy.applies_for(std::time::Duration::from_secs(7)).await;
     proxy.peer.send("probe").await;
     // Orders that came meanwhile are ahead of the answer.
     let mut line = proxy.peer.line().await;
