--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -186,22 +186,22 @@
     seed: u64,
     started: bool,
     servers: BTreeMap<ServerId, Server>,
-    dealt: usize,
+    listed: usize, // servers, ever
     proxies: BTreeMap<ProxyId, Proxy>,
     tables: BTreeMap<TableId, Table>,
     schemes: Vec<Scheme>,
     channel: Channel,
     admission: Admission,
-    further: f64,                           // longer way of probes to other zones, in seconds
-    parts: usize,                           // that the fleet is dealt into; 0 until the first proxies joined
-    usual_parts: usize,                     // while connections do not fail
-    narrowed: Option<Micros>,               // when tries last failed everywhere while servers idled
+    link_latency: f64,        // what probes to other zones take longer, in seconds
+    parts: usize,             // that the fleet is dealt into; 0 until the first proxies joined
+    usual_parts: usize,       // while connections do not fail
+    narrowed: Option<Micros>, // when tries last failed everywhere while servers idled
     links: BTreeMap<(ZoneId, ZoneId), f64>, // scores of the ways, by zone of proxies and of servers
-    cut: BTreeSet<ZoneId>,                  // zones that do not answer here while another does
-    cold_out: bool,                         // cold servers are held out of tables
-    advised: Advised,                       // what plug-ins advise
-    apart: ClassSet,                        // classes with tables of their own, by advice
-    limits: Limits,                         // what limits on service decide
+    cut: BTreeSet<ZoneId>,    // zones that do not answer here while another does
+    cold_out: bool,           // cold servers are held out of tables
+    advised: Advised,         // what plug-ins advise
+    apart: ClassSet,          // classes with tables of their own, by advice
+    limits: Limits,           // what limits on service decide
     ticked: Micros,
     updated: Option<Micros>,
     subscribe_at: Option<Micros>,
@@ -280,7 +280,7 @@
             }
             Event::Probed { server, end, took, load } => {
                 if let Some(server) = self.servers.get_mut(server) {
-                    let way = if server.entry.zone == self.settings.zone { 0.0 } else { self.further };
+                    let way = if server.entry.zone == self.settings.zone { 0.0 } else { self.link_latency };
                     server.probed(*end, *took, way);
                     server.report(load);
                 }
@@ -306,7 +306,7 @@
             Event::Held { table, server, weight } => {
                 self.tables.entry(*table).or_default().lines.insert(*server, *weight);
             }
-            Event::Advice(advice) => self.heed(now, advice),
+            Event::Advice(advice) => self.take_advice(now, advice),
             Event::Limits(limits) => self.limits = limits.clone(),
             Event::Peer { .. } | Event::Timer(_) => {}
         }
@@ -314,7 +314,7 @@
 
     /// Takes advice, no oftener than it may change. Danger: a rule that swings fills the channel and starves
     /// the lines of servers that fail. In a saturated fleet all are needed, and none is left out or spared.
-    fn heed(&mut self, now: Micros, advice: &Advice) {
+    fn take_advice(&mut self, now: Micros, advice: &Advice) {
         if self.advised.taken.is_some_and(|taken| now - taken < ADVICE.0) {
             return;
         }
@@ -335,23 +335,23 @@
             }
         }
         // Dealt in turn by zone and kind: each part of the fleet gets its share of both.
-        let mut dealt: Vec<&Entry> = entries.iter().collect();
-        dealt.sort_by_key(|entry| (entry.zone, entry.kind, entry.server));
-        for entry in dealt {
+        let mut ordered: Vec<&Entry> = entries.iter().collect();
+        ordered.sort_by_key(|entry| (entry.zone, entry.kind, entry.server));
+        for entry in ordered {
             let cold = entry.started.is_some_and(|started| now - started < self.settings.cold_for);
             match self.servers.get_mut(&entry.server) {
                 // A process that started anew is another server in all that matters: cold, with no past.
                 Some(known) if entry.started > known.entry.started => {
-                    let (shut, dealt, told) = (known.shut, known.dealt, known.told);
-                    *known = Server { shut, dealt, told, ..Server::new(*entry, !cold) };
+                    let (shut, ordinal, told) = (known.shut, known.ordinal, known.told);
+                    *known = Server { shut, ordinal, told, ..Server::new(*entry, !cold) };
                 }
                 Some(known) => known.entry = *entry,
                 None => {
                     // One that was forgotten may be shut out by name, or is listed only now that it leaves.
                     let shut = !first && entry.life == Lifecycle::InService;
-                    let new = Server { shut, dealt: self.dealt, ..Server::new(*entry, first && !cold) };
+                    let new = Server { shut, ordinal: self.listed, ..Server::new(*entry, first && !cold) };
                     self.servers.insert(entry.server, new);
-                    self.dealt += 1;
+                    self.listed += 1;
                 }
             }
         }
@@ -370,10 +370,10 @@
             self.limits = Limits::default();
         }
         out.extend(self.subscribe_at.take_if(|at| *at <= now).map(|_| Action::Subscribe(true)));
-        self.further = way(self.open().map(|(_, server)| server), self.settings.zone);
+        self.link_latency = link_latency(self.open().map(|(_, server)| server), self.settings.zone);
         self.pace(elapsed);
         // Failed probes blame no server while few are answered: the own process or the way there may fail.
-        let mute = mute(self.open().map(|(_, server)| server));
+        let mute = unanswered_probes(self.open().map(|(_, server)| server));
         // Danger: a zone cut off from here would pass for a jam, and all would be refused for it.
         let answers = mute.values().any(|share| *share <= 1.0 - PROBES_ANSWERED.0);
         let most = |zone| 1.0 - if self.cut.contains(zone) { PROBES_ANSWERED.0 } else { PROBES_ANSWERED.1 };
@@ -440,9 +440,9 @@
         let bad = self.links.iter().filter(|(_, score)| **score < RESTORE_ABOVE);
         let beside: BTreeSet<ZoneId> = bad.map(|((from, _), _)| *from).collect();
         for ((from, to), met) in seen.iter() {
-            let all = or(fleet.get(from).copied().unwrap_or_default(), (0.0, 0.0));
+            let all = with_fallback(fleet.get(from).copied().unwrap_or_default(), (0.0, 0.0));
             let there = seen.get(&(*to, *to)).or(seen.get(&(*from, *from))).copied().unwrap_or_default();
-            let (met, there) = (or(*met, all), or(there, all));
+            let (met, there) = (with_fallback(*met, all), with_fallback(there, all));
             let error = 1.0 - clamp01((met.0 - there.0) / ERROR_BUDGET);
             let latency = 1.0 - clamp01(met.1 / there.1.max(1.0) / LATENCY_BUDGET);
             let score = self.links.entry((*from, *to)).or_insert(1.0);
@@ -511,10 +511,10 @@
     }
 
     /// The lines a table should have.
-    fn target(&self, scheme: Scheme, dealt: &Dealt, lean: &Zones, cold: (f64, bool)) -> (Lines, bool) {
+    fn target(&self, scheme: Scheme, parts: &Parts, lean: &Zones, cold: (f64, bool)) -> (Lines, bool) {
         let Scheme { zone, home_only, part, .. } = scheme;
         let home = |server: &Server| !home_only || zone == server.entry.zone;
-        let of = |part| dealt.get(part).into_iter().flatten().filter_map(|id| self.servers.get_key_value(id));
+        let of = |part| parts.get(part).into_iter().flatten().filter_map(|id| self.servers.get_key_value(id));
         // Nobody without a server: a part that lost all its warm ones borrows those of the other parts.
         let bare = !of(part).any(|(_, server)| server.open() && home(server) && server.warmth >= 1.0);
         let within = of(if bare { self.parts } else { part }).filter(|(_, server)| home(server));
@@ -761,7 +761,7 @@
         if parts != self.parts || self.schemes.first().map_or(self.apart, |s| s.apart) != self.apart {
             // Tables under new numbers, which cost nothing while nobody uses them.
             let first = self.schemes.last().map_or(0, |scheme| (scheme.table.0 + 1) % (u16::MAX / 2));
-            self.schemes = schemes(&self.settings, parts, first, self.apart);
+            self.schemes = lay_out_tables(&self.settings, parts, first, self.apart);
             self.parts = parts;
             orders.actions.push(Action::Note(Note::Parts { parts, narrowed }));
             self.proxies.values_mut().for_each(|proxy| proxy.bound = false);
@@ -840,7 +840,7 @@
         let can = shares(self.open().map(|(_, server)| (server.entry.zone, server.weight)));
         let lean = |zone: ZoneId| (zone, self.lean(zone, &can, &comes));
         let lean: BTreeMap<ZoneId, Zones> = self.zones().map(lean).collect();
-        let dealt = dealt(&self.servers, self.parts);
+        let by_part = servers_by_part(&self.servers, self.parts);
         let on = self.bound_proxies();
         for scheme in self.schemes.clone() {
             let lean = lean.get(&scheme.zone).unwrap_or(&whole);
@@ -848,7 +848,7 @@
             let traffic = comes.get(&scheme.zone).copied().filter(|_| self.alone());
             let cold = (demand * traffic.unwrap_or(1.0).max(0.5 / comes.len().max(1) as f64), out);
             let users = on.get(&(scheme.zone, scheme.part)).map_or(&[][..], Vec::as_slice);
-            let (target, void) = self.target(scheme, &dealt, lean, cold);
+            let (target, void) = self.target(scheme, &by_part, lean, cold);
             let rates = users.iter().filter_map(|id| Some(self.proxies.get(id)?.rate()));
             let rate = rates.sum::<f64>() / users.len().max(1) as f64;
             self.changes(scheme, &target, rate, &mut changes);
@@ -976,7 +976,7 @@
 
     /// Tables of slices in charge: a line stays while its server is usable, since it knows the slice's keys.
     fn slice_lines(&mut self, now: Micros, orders: &mut Orders) {
-        let (all, whole) = (dealt(&self.servers, 0), Zones::new());
+        let (all, whole) = (servers_by_part(&self.servers, 0), Zones::new());
         let usable = self.target(Scheme::default(), &all, &whole, self.cold_demand()).0;
         let mark = self.channel.next_mark();
         let every: Vec<ProxyId> = self.proxies.keys().copied().collect();
--- a/crates/policy/src/policy/queries.rs
+++ b/crates/policy/src/policy/queries.rs
@@ -74,7 +74,7 @@
     ) -> BTreeMap<(ZoneId, usize), (f64, f64)> {
         let mut sums: BTreeMap<(ZoneId, usize), (f64, f64)> = BTreeMap::new();
         for (_, server) in self.open().filter(|_| self.parts > 0) {
-            let part = (set(server.entry.zone), server.dealt % self.parts);
+            let part = (set(server.entry.zone), server.ordinal % self.parts);
             sums.entry(part).or_default().0 += server.weight;
         }
         for proxy in self.proxies.values().filter(|proxy| proxy.bound) {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -73,7 +73,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Server {
     pub entry: Entry,
-    pub dealt: usize,
+    /// The place in which it was first listed: servers are spread over the parts by it.
+    pub ordinal: usize,
     pub weight: f64,
     pub warmth: f64,
     pub heard: BTreeMap<ZoneId, Evidence>,
@@ -337,7 +338,7 @@
 
 /// What is seen of failures and times, or else what is given. Where every try fails no time is seen, and the failures
 /// tell all the same.
-pub(crate) fn or(seen: (Option<f64>, Option<f64>), given: (f64, f64)) -> (f64, f64) {
+pub(crate) fn with_fallback(seen: (Option<f64>, Option<f64>), given: (f64, f64)) -> (f64, f64) {
     (seen.0.unwrap_or(given.0), seen.1.unwrap_or(given.1))
 }
 
@@ -360,33 +361,33 @@
     zones
 }
 
-/// The further way of a probe from this zone to others, in seconds: how much longer the quickest take.
-pub(crate) fn way<'a>(open: impl Iterator<Item = &'a Server> + Clone, zone: ZoneId) -> f64 {
+/// How much longer probes take to servers of other zones than to those of this one, in seconds, by the quickest of each.
+pub(crate) fn link_latency<'a>(open: impl Iterator<Item = &'a Server> + Clone, zone: ZoneId) -> f64 {
     let home = |s: &Server| s.entry.zone == zone;
     let timed = open.filter(|s| s.quickest > 0.0);
     let kinds: BTreeSet<u32> = timed.clone().map(|s| s.entry.kind).collect();
     let times = |kind| timed.clone().filter(move |s| home(s) && s.entry.kind == kind).map(|s| s.quickest);
     let near: BTreeMap<_, _> = kinds.into_iter().map(|kind| (kind, quantile(times(kind), 0.5))).collect();
-    let further = timed.clone().filter(|s| !home(s));
-    let further = further.filter_map(|far| Some(far.quickest - (*near.get(&far.entry.kind)?)?));
-    quantile(further, 0.5).unwrap_or(0.0).max(0.0)
+    let longer = timed.clone().filter(|s| !home(s));
+    let longer = longer.filter_map(|far| Some(far.quickest - (*near.get(&far.entry.kind)?)?));
+    quantile(longer, 0.5).unwrap_or(0.0).max(0.0)
 }
 
 /// The servers by the part of the fleet that they are dealt to, and at last all of them.
-pub(crate) type Dealt = Vec<Vec<ServerId>>;
+pub(crate) type Parts = Vec<Vec<ServerId>>;
 
 /// Deals the servers into so many parts, by their places.
-pub(crate) fn dealt(servers: &BTreeMap<ServerId, Server>, parts: usize) -> Dealt {
-    let mut dealt = vec![Vec::new(); parts];
+pub(crate) fn servers_by_part(servers: &BTreeMap<ServerId, Server>, parts: usize) -> Parts {
+    let mut by_part = vec![Vec::new(); parts];
     for (id, server) in servers.iter().filter(|_| parts > 0) {
-        dealt.get_mut(server.dealt % parts).into_iter().for_each(|part| part.push(*id));
+        by_part.get_mut(server.ordinal % parts).into_iter().for_each(|part| part.push(*id));
     }
-    dealt.push(servers.keys().copied().collect());
-    dealt
+    by_part.push(servers.keys().copied().collect());
+    by_part
 }
 
 /// By zone, the share of its servers that answer no probe.
-pub(crate) fn mute<'a>(open: impl Iterator<Item = &'a Server>) -> Zones {
+pub(crate) fn unanswered_probes<'a>(open: impl Iterator<Item = &'a Server>) -> Zones {
     let mut zones = BTreeMap::<ZoneId, Fading>::new();
     for server in open {
         zones.entry(server.entry.zone).or_default().add(f64::from(server.probing.failing.min(1)), 1.0);
@@ -396,7 +397,7 @@
 
 /// The tables without slices: for each part of the fleet and zone, one more where classes stay at home, and
 /// one for each class that is steered apart.
-pub(crate) fn schemes(settings: &Settings, parts: usize, first: u16, apart: ClassSet) -> Vec<Scheme> {
+pub(crate) fn lay_out_tables(settings: &Settings, parts: usize, first: u16, apart: ClassSet) -> Vec<Scheme> {
     let mut groups: Vec<(bool, ClassSet)> = Vec::new();
     for home_only in [false, true] {
         let classes = settings.classes.iter().enumerate().filter(|(_, class)| class.home_only == home_only);
@@ -421,20 +422,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Danger: a spoilt answer frees what still waits, and the queue behind it grows unseen.
-    #[test]
-    fn a_mark_that_was_not_written_to_a_proxy_confirms_nothing() {
-        let mut channel = Channel::default();
-        let lines = |of: &[u32]| of.iter().map(|id| (ProxyId(*id), 4.0)).collect::<BTreeMap<_, _>>();
-        channel.send(Micros(1), 1, lines(&[1, 2]));
-        channel.send(Micros(2), 2, lines(&[2]));
-        channel.confirmed(Micros(3), ProxyId(1), 2, Micros(1));
-        channel.confirmed(Micros(3), ProxyId(2), 77, Micros(1));
-        assert_eq!((channel.waiting(), channel.confirmed), (12.0, Micros(0)));
-        channel.confirmed(Micros(4), ProxyId(2), 2, Micros(1));
-        assert_eq!((channel.waiting(), channel.confirmed), (0.0, Micros(4)));
-    }
-}
+mod tests;
