--- a/crates/supervisor/src/servers/tests.rs
+++ b/crates/supervisor/src/servers/tests.rs
@@ -62,6 +62,31 @@
     assert_eq!(of(&[]), ProbeEnd::Unreachable);
 }
 
+/// How a probe ends whose answer breaks off after so many bytes, on a connection of its own.
+fn end_of_an_answer_cut_after(bytes: usize) -> ProbeEnd {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let script = Scripted::start().await;
+        let address = script.address.to_string();
+        tokio::task::spawn_local(async move {
+            let mut peer = script.asked_for("/-/load").await;
+            peer.raw(&WELL.as_bytes()[..bytes]).await;
+        });
+        let servers = Servers::new(true, WITHIN, Duration::from_secs(60));
+        servers.ask(&address).await.0
+    })
+}
+
+/// Danger: a server that dies within its answer would pass for one that is well.
+#[test]
+fn an_answer_that_breaks_off_at_any_point_is_no_good_one() {
+    for bytes in 0..WELL.len() {
+        let end = end_of_an_answer_cut_after(bytes);
+        assert!(matches!(end, ProbeEnd::Unreachable | ProbeEnd::Error), "{end:?} after {bytes} bytes");
+    }
+    assert_eq!(end_of_an_answer_cut_after(WELL.len()), ProbeEnd::Done);
+}
+
 /// Danger: over months of replaced servers, the addresses of those that are gone add up.
 #[test]
 fn servers_that_are_gone_leave_nothing_behind() {
--- /dev/null
+++ b/crates/supervisor/tests/common/mod.rs
@@ -0,0 +1,49 @@
+//! A program, three servers and a proxy, for the tests that speak to a supervisor over sockets.
+#![allow(dead_code)]
+
+use chutegrade_standins::{config, Discovery, Manner, Program, Proxy, Server, Supervisor};
+
+/// The names of the three servers.
+pub const NAMES: [&str; 3] = ["s-1", "s-2", "s-3"];
+
+/// The program under test.
+pub fn program() -> Program {
+    Program::new(env!("CARGO_BIN_EXE_chutegrade"), env!("CARGO_TARGET_TMPDIR"))
+}
+
+/// The three servers, which answer well.
+pub async fn servers() -> Vec<Server> {
+    let mut servers = Vec::new();
+    for name in NAMES {
+        servers.push(Server::start(name, Manner::Well).await);
+    }
+    servers
+}
+
+/// Discovery with three servers.
+pub async fn fleet() -> (Discovery, Vec<Server>) {
+    let (discovery, servers) = (Discovery::start().await, servers().await);
+    for server in &servers {
+        discovery.set(server.name, server.address, "up");
+    }
+    (discovery, servers)
+}
+
+/// A supervisor that serves such a fleet from the list it last had.
+pub async fn serving() -> (Discovery, Vec<Server>, Supervisor) {
+    let (discovery, servers) = fleet().await;
+    let supervisor = program().start(&config(&discovery, Some(discovery.list()), 1024)).await;
+    (discovery, servers, supervisor)
+}
+
+/// Whether a proxy may pick each server for each class.
+pub fn has_all(proxy: &Proxy) -> bool {
+    ["lookup", "order"].iter().all(|class| proxy.picks(class) == NAMES)
+}
+
+/// A proxy that has joined and holds its whole table.
+pub async fn joined(supervisor: &Supervisor, id: u32) -> Proxy {
+    let mut proxy = Proxy::join(supervisor, id, true).await;
+    proxy.applies("a whole table", has_all).await;
+    proxy
+}
--- a/crates/supervisor/tests/crossings.rs
+++ b/crates/supervisor/tests/crossings.rs
@@ -4,39 +4,12 @@
 use std::time::{Duration, Instant};
 
 use chutegrade_standins::{
-    config, delivery, entry, soon, until, Discovery, Manner, Peer, Program, Proxy, Scripted, Server,
-    Supervisor,
+    config, delivery, entry, soon, until, Discovery, Manner, Peer, Proxy, Scripted, Server, Supervisor,
 };
 use serde_json::{json, Value};
 
-const NAMES: [&str; 3] = ["s-1", "s-2", "s-3"];
-
-fn program() -> Program {
-    Program::new(env!("CARGO_BIN_EXE_chutegrade"), env!("CARGO_TARGET_TMPDIR"))
-}
-
-async fn servers() -> Vec<Server> {
-    let mut servers = Vec::new();
-    for name in NAMES {
-        servers.push(Server::start(name, Manner::Well).await);
-    }
-    servers
-}
-
-/// Discovery with three servers.
-async fn fleet() -> (Discovery, Vec<Server>) {
-    let (discovery, servers) = (Discovery::start().await, servers().await);
-    for server in &servers {
-        discovery.set(server.name, server.address, "up");
-    }
-    (discovery, servers)
-}
-
-async fn serving() -> (Discovery, Vec<Server>, Supervisor) {
-    let (discovery, servers) = fleet().await;
-    let supervisor = program().start(&config(&discovery, Some(discovery.list()), 1024)).await;
-    (discovery, servers, supervisor)
-}
+mod common;
+use common::*;
 
 /// Discovery as the test plays it, three servers, and a supervisor that knows them as version 41.
 async fn told_by_hand() -> (Scripted, Vec<Server>, Supervisor, Value) {
@@ -49,16 +22,6 @@
     (script, servers, supervisor, told)
 }
 
-fn has_all(proxy: &Proxy) -> bool {
-    ["lookup", "order"].iter().all(|class| proxy.picks(class) == NAMES)
-}
-
-async fn joined(supervisor: &Supervisor, id: u32) -> Proxy {
-    let mut proxy = Proxy::join(supervisor, id, true).await;
-    proxy.applies("a whole table", has_all).await;
-    proxy
-}
-
 async fn applies(proxy: &mut Proxy, picks: &[&str]) {
     proxy
         .applies(&format!("{picks:?}"), |proxy| {
--- a/crates/supervisor/tests/serving.rs
+++ b/crates/supervisor/tests/serving.rs
@@ -2,43 +2,11 @@
 
 use std::sync::atomic::Ordering;
 
-use chutegrade_standins::{config, until, Discovery, Manner, Peer, Program, Proxy, Server, Supervisor};
+use chutegrade_standins::{config, until, Discovery, Manner, Peer, Proxy, Server};
 use serde_json::json;
 
-/// The program as built for tests.
-fn program() -> Program {
-    Program::new(env!("CARGO_BIN_EXE_chutegrade"), env!("CARGO_TARGET_TMPDIR"))
-}
-
-/// Discovery and three servers that it lists.
-async fn fleet() -> (Discovery, Vec<Server>) {
-    let discovery = Discovery::start().await;
-    let mut servers = Vec::new();
-    for name in ["s-1", "s-2", "s-3"] {
-        let server = Server::start(name, Manner::Well).await;
-        discovery.set(name, server.address, "up");
-        servers.push(server);
-    }
-    (discovery, servers)
-}
-
-/// A supervisor that serves such a fleet from the list it last had.
-async fn serving() -> (Discovery, Vec<Server>, Supervisor) {
-    let (discovery, servers) = fleet().await;
-    let supervisor = program().start(&config(&discovery, Some(discovery.list()), 1024)).await;
-    (discovery, servers, supervisor)
-}
-
-/// A proxy that has joined and holds its whole table.
-async fn joined(supervisor: &Supervisor, id: u32) -> Proxy {
-    let mut proxy = Proxy::join(supervisor, id, true).await;
-    proxy.applies("a whole table", has_all).await;
-    proxy
-}
-
-fn has_all(proxy: &Proxy) -> bool {
-    proxy.picks("lookup").len() == 3 && proxy.picks("order").len() == 3
-}
+mod common;
+use common::*;
 
 #[tokio::test]
 async fn a_proxy_is_served_from_join_to_order_to_ack() {
