--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -648,6 +648,12 @@
         admission.refused = refused;
     }
 
+    /// How much of the work a server takes: the capacity it is sure to have, none while it is held out.
+    fn work_taken(&self, server: &Server, warm_ones: bool) -> f64 {
+        let held_out = self.cold_out && warm_ones && server.warmth < 1.0;
+        server.warmth * if held_out { 0.0 } else { server.size() }
+    }
+
     /// Each class's level: the least worth for its time goes first; rates follow the busiest proxy's demand.
     fn class_levels(&self, refused: f64) -> Vec<(f64, Retry)> {
         let classes = &self.settings.classes;
--- a/crates/policy/src/policy/queries.rs
+++ b/crates/policy/src/policy/queries.rs
@@ -28,13 +28,11 @@
         quantile(near.unwrap_or_else(|| shown(None)).into_iter(), 0.5)
     }
 
-    /// What open servers show, with the share of work that each takes: the capacity that it is sure to have, and none for
-    /// a cold one that is held out of tables while there are warm ones.
+    /// What open servers show, with the work that each takes; those that take none are left out.
     fn shown_at_work(&self, of: impl Fn(&Server) -> Option<f64>) -> Vec<(f64, f64)> {
         let warm_ones = self.open().any(|(_, server)| server.warmth >= 1.0);
-        let held_out = |server: &Server| self.cold_out && warm_ones && server.warmth < 1.0;
-        let at_work = self.open().filter(|(_, server)| !held_out(server));
-        at_work.filter_map(|(_, server)| Some((of(server)?, server.warmth * server.size()))).collect()
+        let shown = self.open().filter_map(|(_, s)| Some((of(s)?, self.work_taken(s, warm_ones))));
+        shown.filter(|(_, work)| *work > 0.0).collect()
     }
 
     /// The mean of what open servers show, by the work that each takes.
