A test of reloads counts on no luck: two signals come to a process that stands still

Cause, in the test: it sends two SIGHUPs one after the other, waits for the watch at the third address only, and then writes a spoilt file; a second signal that is still pending reads that too.

Change: the process stands still while both signals come, so that they are one reload, whose line the test waits for (exactly one for the third address, none for the first), before it writes the spoilt file.

--- a/crates/supervisor/tests/serving.rs
+++ b/crates/supervisor/tests/serving.rs
@@ -121,10 +121,14 @@
     // While the agent says nothing, and more signals than one at a time: the last file holds.
     second.mute(true);
     let third = second.second().await;
+    supervisor.freeze().await;
     for agent in [&discovery, &third] {
         told["discovery"] = json!(agent.address.to_string());
         supervisor.reload(&told.to_string()).await;
     }
+    supervisor.thaw(&["-HUP"]).await;
+    supervisor.logs(1, &["reloaded", &third.address.to_string()]).await;
+    assert_eq!(supervisor.logged(&["reloaded", &discovery.address.to_string()]), 0);
     until("a watch at the third address", || third.opened() == 1).await;
     third.set("s-1", servers[0].address, "draining");
     proxy.applies("news from the third", |proxy| proxy.picks("order") == ["s-3"]).await;
