--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-for name in rig; do
+for name in rig wire; do
   rustc --edition 2021 -O -o "bin/$name" "standin/$name.rs"
 done
