Review: drop the first case, which an earlier one shows; the second becomes case 6

Cause: the earlier review's case 1 names the same lines (ordinary budget, protective only for an empty table), with parts instead of levels.

--- a/review/5/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs case 5: three small deployments beside each other, each with a supervisor of its own. Exits with 1 if the rule was
+# Runs case 6: three small deployments beside each other, each with a supervisor of its own. Exits with 1 if the rule was
 # broken in one of them, 0 if it held in all, 2 if the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
--- a/review/standin-2/answers.rs
+++ b/review/standin-2/answers.rs
@@ -1,4 +1,4 @@
-//! Case 5: some answers to marks arrive spoilt, and nine of fifteen servers are replaced while the supervisor ends healthy
+//! Case 6: some answers to marks arrive spoilt, and nine of fifteen servers are replaced while the supervisor ends healthy
 //! streams for it.
 mod rig;
 use rig::{entry_of, figure, has_trouble, small_rates, small_servers, small_site, speed, unix_ms, Record, Server, World};
--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -90,6 +90,10 @@
     changes: Vec<Vec<Entry>>,
     /// By name: the time at which the first watch was written the change that made it leave, in seconds of the record.
     pub told_leaving: BTreeMap<String, f64>,
+    /// Until when the agent says nothing, in seconds of the record: discovery is down.
+    pub silent_until: f64,
+    /// When the list was first written to the supervisor that runs now.
+    pub listed_at: Option<f64>,
     pub current: BTreeMap<String, Entry>,
 }
 
@@ -141,6 +145,13 @@
         list_json(state.changes.len(), true, &entries)
     }
 
+    /// Waits while discovery is down: the agent takes connections and says nothing.
+    fn wait_while_silent(&self) {
+        while self.record.now() < self.state.0.lock().unwrap().silent_until {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     fn note_told(&self, state: &mut ListState, entries: &[Entry]) {
         for entry in entries {
             if entry.status == "up" {
@@ -166,6 +177,12 @@
                 _ => break,
             }
         }
+        self.wait_while_silent();
+        {
+            let mut state = self.state.0.lock().unwrap();
+            let now = self.record.now();
+            state.listed_at.get_or_insert(now);
+        }
         let path = request.split(' ').nth(1).unwrap_or("").to_string();
         if !path.contains("watch=1") {
             let body = self.whole();
@@ -353,6 +370,10 @@
     pub outcomes: BTreeMap<(usize, String), (f64, f64, f64)>,
     pub outcome_reports: VecDeque<(f64, usize, String)>,
     pub next_stream: u64,
+    /// Whether the configuration has the list as the supervisor last had it.
+    pub has_known: bool,
+    /// Whether the supervisor starts again with the configuration that it had.
+    pub keeps_config: bool,
     pub answered_at: f64,
     /// What broke a rule: the rule and what was seen.
     pub broken: Vec<(&'static str, String)>,
@@ -437,6 +458,8 @@
             outcomes: BTreeMap::new(),
             outcome_reports: VecDeque::new(),
             next_stream: 0,
+            has_known: true,
+            keeps_config: false,
             answered_at: f64::MAX,
             broken: Vec::new(),
             sent: BTreeMap::new(),
@@ -458,12 +481,16 @@
 
     /// Starts the supervisor with the deploy file's command, and waits until it answers `alive`.
     pub fn start_supervisor(&mut self) {
+        let known = if self.has_known { format!("\"known\":{},", self.discovery.whole()) } else { String::new() };
         let config = format!(
-            "{{\"name\":\"n1\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"known\":{},\"settings\":{}}}",
-            self.listen, self.discovery.address, self.discovery.whole(), self.site.settings
+            "{{\"name\":\"n1\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},{known}\"settings\":{}}}",
+            self.listen, self.discovery.address, self.site.settings
         );
         let path = format!("{}/config.json", self.directory);
-        std::fs::write(&path, config).unwrap();
+        if !self.keeps_config {
+            std::fs::write(&path, config).unwrap();
+        }
         let command = run_command();
         self.record.say(&format!("supervisor: {command}"));
         let log = File::create(format!("{}/supervisor.log", self.directory)).unwrap();
@@ -504,6 +531,26 @@
         std::process::exit(2);
     }
 
+    /// Kills the supervisor. Its streams are reset: the proxies have left, and dial again.
+    pub fn kill_supervisor(&mut self) {
+        self.record.say("the supervisor is killed");
+        self.stop();
+        let now = self.record.now();
+        for p in &mut self.proxies {
+            p.redial_at = now + self.rng.between(self.site.redial.0, self.site.redial.1);
+            p.stream = None;
+            p.stream_id = 0;
+            p.coming.clear();
+            p.reports.clear();
+            p.closed_by_supervisor = false;
+            p.bare_since = vec![None; p.bare_since.len()];
+        }
+        for collector in &mut self.collectors {
+            *collector = None;
+        }
+        self.discovery.state.0.lock().unwrap().listed_at = None;
+    }
+
     pub fn stop(&mut self) {
         if let Some(mut child) = self.supervisor.take() {
             let _ = child.kill();
@@ -834,7 +881,15 @@
 
     /// Nobody without a server: no line to pick for a class, while an open server is listed ready and no longer cold.
     fn check_lines(&mut self, now: f64) {
-        let current: Vec<Entry> = self.discovery.state.0.lock().unwrap().current.values().cloned().collect();
+        let (current, listed_at) = {
+            let state = self.discovery.state.0.lock().unwrap();
+            let current: Vec<Entry> = state.current.values().cloned().collect();
+            (current, state.listed_at)
+        };
+        // With a list in its configuration the supervisor has one from the start; else what discovery has to tell counts as
+        // told once it has written it, and no later than 6 s after.
+        let told = if self.has_known { 0.0 } else { listed_at.unwrap_or(f64::MAX).min(self.answered_at + 6.0) };
+        let from = (self.answered_at + 1.0).max(told);
         let clock = unix_ms();
         for p in &mut self.proxies {
             for class in 0..self.site.classes.len() {
@@ -845,7 +900,7 @@
                 });
                 let has_line = p.tables[class].iter().any(|(name, w)| *w > 0.0 && !p.dropped.contains(name));
                 let counts = p.stream.is_some() || p.closed_by_supervisor;
-                if !counts || has_line || !open || now < self.answered_at + 1.0 {
+                if !counts || has_line || !open || now < from {
                     p.bare_since[class] = None;
                     continue;
                 }
