--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -440,7 +440,7 @@
                 }
             })
             .collect();
-        let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let listen = free_address();
         let directory = std::env::var("RIG_DIR").expect("RIG_DIR");
         let zones = site.zones.len();
         World {
@@ -986,6 +986,14 @@
     }
 }
 
+/// An address for the supervisor to listen at: a loopback address of this process's own, so that no other connection of the
+/// machine takes the port meanwhile.
+fn free_address() -> SocketAddr {
+    let id = std::process::id();
+    let host = format!("127.{}.{}.1:0", 10 + id % 200, 1 + id / 200 % 200);
+    TcpListener::bind(host).unwrap().local_addr().unwrap()
+}
+
 fn read_orders(stream: TcpStream, proxy: usize, number: u64, sender: &Sender<Heard>, record: &Record) {
     let mut reader = BufReader::new(stream);
     let mut lines = Vec::new();
