Keep what proxies bring until discovery has answered in this start

Cause: a cached list was applied as if discovery had delivered it. The decisions did not know whether discovery had answered since the start, so Reconcile resumed servers by a list that is older than what the proxies bring. Evidence: in the record the requests to the three begin after the undrop that names them (17.817, first request 18.092), and none comes between the first table and the undrop.

Change: the supervisor reports that an answer is outstanding (EndpointUpdateKind::Pending), at the start and while discovery is unavailable; a delivery or the heartbeat of a watch is the answer. Until the first one, proxies keep the tables that they bring, unless they report that they serve nothing, and nobody gets an empty table; Reconcile waits while any answer is outstanding. It works because the order is not given before a list of this start confirms it; no time is assumed.

Tests: on the code before, five of the six of discovery_outage.rs (the sixth, on new proxies, held) and both new ones of the crossings failed. A fetch of the list before the first watch was tried and dropped: it changed the order of requests to discovery, which seven tests fix, and the watch's own heartbeat answers as well.

--- a/crates/adapter/src/codec/encode_event.rs
+++ b/crates/adapter/src/codec/encode_event.rs
@@ -19,6 +19,8 @@
 /// for advice, limits, peer messages and events of slices, which are not passed to another build.
 pub(crate) fn encode_event(event: &Event, list_number: u64) -> String {
     match event {
+        // The wire protocol only has answers.
+        Event::EndpointList(EndpointUpdateKind::Pending, _) => String::new(),
         Event::EndpointList(kind, endpoints) => endpoint_list(*kind, endpoints, list_number),
         Event::ProxyJoined {
             proxy,
--- a/crates/emulators/src/peer.rs
+++ b/crates/emulators/src/peer.rs
@@ -6,11 +6,15 @@
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
 
 use crate::program::Supervisor;
 use crate::tables::Tables;
 use crate::wait::wait_for;
 
+/// Time after which a connection without data or an end counts as open.
+const OPEN_CHECK_TIME: Duration = Duration::from_millis(20);
+
 /// One end of a connection with the supervisor, driven by a test.
 pub struct Peer {
     stream: BufReader<TcpStream>,
@@ -68,6 +72,13 @@
         }
     }
 
+    /// Whether the other side has left the connection open; it must have nothing else to send.
+    pub async fn is_open(&mut self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.read(&mut byte);
+        timeout(OPEN_CHECK_TIME, read).await.is_err()
+    }
+
     /// Reads the next HTTP request and returns its path; returns `None` once the connection has closed.
     pub async fn next_request_path(&mut self) -> Option<String> {
         let request_line = wait_for("a request", self.line()).await?;
--- a/crates/emulators/src/scripted.rs
+++ b/crates/emulators/src/scripted.rs
@@ -39,6 +39,18 @@
         (peer, path)
     }
 
+    /// Accepts connections until the peer of one still waits for its response, and asserts the path of that request. It has
+    /// given up on the earlier ones.
+    pub async fn expect_open_request(&self, path: &str) -> Peer {
+        loop {
+            let (mut peer, requested_path) = self.next_request().await;
+            if peer.is_open().await {
+                assert_eq!(requested_path, path);
+                return peer;
+            }
+        }
+    }
+
     /// Accepts the next connection, and asserts the path of its first request.
     pub async fn expect_request(&self, path: &str) -> Peer {
         let (peer, requested_path) = self.next_request().await;
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -1613,6 +1613,7 @@
             supervisor.pending_tick,
         ) = (true, controller, 0, None);
         (supervisor.channel_free_us, supervisor.intake_scheduled) = (self.now_us as f64, false);
+        self.report_endpoints(index, EndpointUpdateKind::Pending, Vec::new());
         self.init_supervisor(index, EndpointUpdateKind::CachedSnapshot);
         let delay_us = self.random_sources.discovery.uniform_between(
             self.scenario.min_discovery_delay_us,
--- a/crates/policy/src/decisions/assignment.rs
+++ b/crates/policy/src/decisions/assignment.rs
@@ -60,12 +60,18 @@
             let Some(proxy) = proxies.get(candidate.proxy) else {
                 continue;
             };
+            let zone = proxy.zone;
             let migration = self.plan_migration(proxy, &mut balance);
             if candidate.is_assigned && !migration.is_worthwhile {
                 self.reconcile(candidate.proxy, proxies, orders);
                 continue;
             }
-            if !self.assign_tables(&candidate, migration.to.shard, proxies, orders) {
+            let plans = self.plans_of(zone, migration.to.shard);
+            if self.registry.awaits_first_answer() && plans.iter().any(|plan| self.is_empty(plan)) {
+                // An empty table could replace one with servers that the list does not have yet.
+                continue;
+            }
+            if !self.assign_tables(&candidate, migration.to.shard, &plans, proxies, orders) {
                 break;
             }
             if candidate.is_assigned {
@@ -88,6 +94,7 @@
         let mut candidates: Vec<Candidate> = proxies
             .iter()
             .filter(|(_, proxy)| !proxy.is_assigned || self.is_tick)
+            .filter(|(_, proxy)| !self.must_keep_tables(proxy))
             .map(|(id, proxy)| Candidate {
                 proxy: *id,
                 has_tables: proxy.has_tables(),
@@ -103,6 +110,14 @@
         candidates
     }
 
+    /// Returns whether a proxy must keep the tables that it brought. Until discovery has answered in this start, the list
+    /// is older than these tables: it may lack servers that have started and contain ones that have left, which the proxy
+    /// need not have suspended. A proxy that serves nothing has nothing to lose.
+    fn must_keep_tables(&self, proxy: &Proxy) -> bool {
+        let holds_newer_tables = proxy.has_previous_table && !proxy.has_tables();
+        holds_newer_tables && self.registry.awaits_first_answer() && !proxy.serves_nothing()
+    }
+
     /// Returns the best shard for a proxy, and whether it should migrate there.
     fn plan_migration(&self, proxy: &Proxy, balance: &mut ShardBalance) -> Migration {
         let group = self.groups().group(proxy.zone);
@@ -155,6 +170,10 @@
     /// Corrects the suspensions that a proxy may hold from another instance, for all servers of its tables. This waits
     /// for free capacity in the channel: together with the first table it would double the time of a join.
     fn reconcile(&self, id: ProxyId, proxies: &mut Proxies, orders: &mut Orders) {
+        if self.registry.awaits_discovery() {
+            // A server that has left must not be resumed by a list that still has it in service.
+            return;
+        }
         let Some(proxy) = proxies.get(id).filter(|proxy| proxy.has_previous_table) else {
             return;
         };
@@ -178,19 +197,11 @@
         &self,
         candidate: &Candidate,
         shard: usize,
+        plans: &[&TablePlan],
         proxies: &mut Proxies,
         orders: &mut Orders,
     ) -> bool {
         let id = candidate.proxy;
-        let Some(zone) = proxies.get(id).map(|proxy| proxy.zone) else {
-            return true;
-        };
-        let plans: Vec<&TablePlan> = self
-            .sharding
-            .plans
-            .iter()
-            .filter(|plan| plan.serves(zone, shard))
-            .collect();
         let lines = plans
             .iter()
             .filter_map(|plan| self.tables.get(plan.table))
@@ -205,7 +216,7 @@
             return false;
         }
         orders.add_lines(id, lines);
-        for plan in &plans {
+        for plan in plans {
             orders.push(Action::AssignTable {
                 proxy: id,
                 table: plan.table,
@@ -220,6 +231,17 @@
         true
     }
 
+    /// Returns the tables of a shard for the proxies of a zone, one for each group of classes.
+    fn plans_of(&self, zone: ZoneId, shard: usize) -> Vec<&TablePlan> {
+        let plans = self.sharding.plans.iter();
+        plans.filter(|plan| plan.serves(zone, shard)).collect()
+    }
+
+    fn is_empty(&self, plan: &TablePlan) -> bool {
+        let table = self.tables.get(plan.table);
+        table.is_none_or(|table| table.weights.is_empty())
+    }
+
     /// Returns the lines of a complete table. The first table of a proxy includes the suspension states of the servers
     /// that left service here, a later one those of all its servers.
     fn lines_of(&self, table: &Table, has_tables: bool) -> usize {
--- a/crates/policy/src/decisions/events.rs
+++ b/crates/policy/src/decisions/events.rs
@@ -1,10 +1,10 @@
 //! Application of events to the state of an instance. Orders are derived separately: at once after urgent events, else
 //! at the next tick.
 
-use crate::interface::{ClassId, Event, HealthCheckOutcome, LoadReport, Micros, ProxyId, ServerId};
+use crate::interface::{Event, HealthCheckOutcome, LoadReport, Micros, ProxyId, ServerId};
 
 use super::evidence::AttemptCounts;
-use super::proxies::Proxy;
+use super::proxies::{ClassDemand, Proxy};
 use super::Policy;
 
 impl Policy {
@@ -26,9 +26,17 @@
                 proxy,
                 class,
                 arrivals,
+                failed,
                 period,
-                ..
-            } => self.record_proxy_demand(*proxy, *class, *arrivals, *period),
+            } => {
+                let demand = ClassDemand {
+                    class: *class,
+                    arrivals: *arrivals,
+                    failed: *failed,
+                    period: *period,
+                };
+                self.record_proxy_demand(*proxy, &demand);
+            }
             Event::SliceDemand {
                 class, arrivals, ..
             } => self.admission.record_arrivals(*class, *arrivals),
@@ -131,18 +139,13 @@
         server.evidence.record_load(load);
     }
 
-    fn record_proxy_demand(
-        &mut self,
-        proxy: ProxyId,
-        class: ClassId,
-        arrivals: f64,
-        period: Micros,
-    ) {
+    fn record_proxy_demand(&mut self, proxy: ProxyId, demand: &ClassDemand) {
         let class_count = self.settings.classes.len() as f64;
         if let Some(proxy) = self.proxies.get_mut(proxy) {
-            proxy.record_arrivals(arrivals, period.secs(), class_count);
+            proxy.record_demand(demand, class_count);
         }
-        self.admission.record_arrivals(class, arrivals);
+        self.admission
+            .record_arrivals(demand.class, demand.arrivals);
     }
 
     fn remove_proxy(&mut self, now: Micros, proxy: ProxyId) {
--- a/crates/policy/src/decisions/mod.rs
+++ b/crates/policy/src/decisions/mod.rs
@@ -39,7 +39,7 @@
 mod zone_affinity;
 mod zone_links;
 
-use crate::interface::{Action, Event, Micros, Settings};
+use crate::interface::{Action, EndpointUpdateKind, Event, Micros, Settings};
 
 use admission::{Admission, AdmissionInputs};
 use advice::ActiveAdvice;
@@ -121,6 +121,7 @@
         self.ticked_at = now;
         if self.settings.endpoints_on_request {
             actions.push(Action::SubscribeEndpoints(true));
+            self.registry.expect_answer();
         }
         actions.push(Action::SetTimer {
             id: TICK_TIMER_ID,
@@ -132,9 +133,8 @@
     /// them would delay the orders of a large fleet.
     fn is_urgent(&self, event: &Event) -> bool {
         match event {
-            Event::EndpointList(..) | Event::ProxyJoined { .. } | Event::SliceOwnership { .. } => {
-                true
-            }
+            Event::EndpointList(kind, _) => *kind != EndpointUpdateKind::Pending,
+            Event::ProxyJoined { .. } | Event::SliceOwnership { .. } => true,
             // These may complete a hand-over.
             Event::Acknowledged { .. } | Event::ProxyLeft(_) | Event::StreamClosed(_) => {
                 self.settings.exclusive_ownership
--- a/crates/policy/src/decisions/proxies.rs
+++ b/crates/policy/src/decisions/proxies.rs
@@ -2,13 +2,32 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::interface::{Micros, ProxyId, TableId, ZoneId};
+use crate::interface::{ClassId, Micros, ProxyId, TableId, ZoneId};
 use crate::statistics::{shares, DecayingMean};
 
 use super::evidence::RATE_HALF_LIFE_SECONDS;
 use super::registry::ByZone;
 use super::table_layout::ZoneShard;
 
+/// Number of consecutive reports of a class in which all requests failed, from which its proxy counts as serving nothing.
+const MIN_FAILED_REPORTS: usize = 2;
+
+/// A proxy's report on the requests of one class.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClassDemand {
+    pub class: ClassId,
+    pub arrivals: f64,
+    /// Admitted requests that failed.
+    pub failed: f64,
+    pub period: Micros,
+}
+
+impl ClassDemand {
+    fn has_failed_completely(&self) -> bool {
+        self.arrivals > 0.0 && self.failed >= self.arrivals
+    }
+}
+
 /// A joined proxy.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Proxy {
@@ -22,6 +41,8 @@
     /// Its tables, of the current or of an earlier layout.
     pub tables: Vec<TableId>,
     arrivals: DecayingMean,
+    /// Number of its latest consecutive reports of a class in which all requests failed.
+    failed_reports: BTreeMap<ClassId, usize>,
     /// Times at which messages were written to it, within the window of the message limit.
     written_at: VecDeque<Micros>,
 }
@@ -50,10 +71,21 @@
         self.arrivals.positive_mean().unwrap_or(0.0)
     }
 
-    /// Records the arrivals of one of `class_count` classes over a period in seconds. Each class is reported
-    /// separately.
-    pub fn record_arrivals(&mut self, arrivals: f64, seconds: f64, class_count: f64) {
-        self.arrivals.add(arrivals, seconds / class_count);
+    /// Records the demand for one of `class_count` classes. Each class is reported separately.
+    pub fn record_demand(&mut self, demand: &ClassDemand, class_count: f64) {
+        let class_seconds = demand.period.secs() / class_count;
+        self.arrivals.add(demand.arrivals, class_seconds);
+        if demand.has_failed_completely() {
+            *self.failed_reports.entry(demand.class).or_default() += 1;
+        } else {
+            self.failed_reports.remove(&demand.class);
+        }
+    }
+
+    /// Returns whether it has reported for a while that it serves no request of a class.
+    pub fn serves_nothing(&self) -> bool {
+        let mut failed_reports = self.failed_reports.values();
+        failed_reports.any(|reports| *reports >= MIN_FAILED_REPORTS)
     }
 }
 
--- a/crates/policy/src/decisions/registry.rs
+++ b/crates/policy/src/decisions/registry.rs
@@ -29,6 +29,16 @@
     /// Number of servers that were listed so far, including dropped ones.
     listed_count: usize,
     resubscribe_at: Option<Micros>,
+    answers: DiscoveryAnswers,
+}
+
+/// What discovery has answered since this instance started.
+#[derive(Clone, Copy, Debug, Default)]
+struct DiscoveryAnswers {
+    /// Whether an answer is outstanding.
+    is_awaited: bool,
+    /// Whether there was any.
+    is_heard: bool,
 }
 
 impl Registry {
@@ -43,12 +53,19 @@
         match kind {
             EndpointUpdateKind::Unavailable => {
                 self.resubscribe_at = Some(now + RESUBSCRIBE_DELAY);
+                self.expect_answer();
+                return;
+            }
+            EndpointUpdateKind::Pending => {
+                self.expect_answer();
                 return;
             }
-            EndpointUpdateKind::Snapshot | EndpointUpdateKind::CachedSnapshot => {
+            EndpointUpdateKind::CachedSnapshot => self.remove_unlisted(endpoints),
+            EndpointUpdateKind::Snapshot => {
+                self.record_answer();
                 self.remove_unlisted(endpoints);
             }
-            EndpointUpdateKind::Delta => {}
+            EndpointUpdateKind::Delta => self.record_answer(),
         }
         let is_first_list = self.servers.is_empty();
         // Ordinals are assigned by zone and machine kind, so that each shard gets its share of both.
@@ -71,6 +88,18 @@
         self.resubscribe_at.take_if(|at| *at <= now).is_some()
     }
 
+    /// Returns whether the list may be out of date because discovery has yet to answer. A server that it has in service
+    /// may then have left.
+    pub fn awaits_discovery(&self) -> bool {
+        self.answers.is_awaited
+    }
+
+    /// Returns whether the list is that of an earlier start, or empty, because discovery has yet to answer for the first
+    /// time. What proxies hold is then more recent.
+    pub fn awaits_first_answer(&self) -> bool {
+        self.answers.is_awaited && !self.answers.is_heard
+    }
+
     /// Returns all known servers, by id.
     pub fn iter(&self) -> impl Iterator<Item = (&ServerId, &Server)> + Clone {
         self.servers.iter()
@@ -153,6 +182,18 @@
         }
     }
 
+    /// Records that an answer of discovery is outstanding.
+    pub fn expect_answer(&mut self) {
+        self.answers.is_awaited = true;
+    }
+
+    fn record_answer(&mut self) {
+        self.answers = DiscoveryAnswers {
+            is_awaited: false,
+            is_heard: true,
+        };
+    }
+
     /// Marks the servers that a snapshot does not list as removed.
     fn remove_unlisted(&mut self, endpoints: &[Endpoint]) {
         let listed: BTreeSet<ServerId> = endpoints.iter().map(|endpoint| endpoint.server).collect();
--- a/crates/policy/src/interface/endpoints.rs
+++ b/crates/policy/src/interface/endpoints.rs
@@ -44,4 +44,7 @@
     CachedSnapshot,
     /// Discovery is unavailable: a fetch or the subscription failed, and the list stays as it was.
     Unavailable,
+    /// Discovery is expected to answer and has not yet; it has no entries. The answer is a delta or a snapshot, an empty
+    /// delta if nothing has changed.
+    Pending,
 }
--- /dev/null
+++ b/crates/policy/tests/discovery_outage.rs
@@ -0,0 +1,202 @@
+//! Decisions while discovery has yet to answer: at the start, with a list that may be out of date, and later.
+
+mod common;
+
+use chutegrade_policy::*;
+use common::*;
+
+const SERVERS: u32 = 6;
+const PROXY: ProxyId = ProxyId(0);
+/// Id of the timer that triggers ticks.
+const TICK_TIMER: u32 = 1;
+
+/// Settings of an instance whose only proxy is [`PROXY`].
+fn one_proxy() -> Settings {
+    Settings {
+        instances: 1,
+        proxies: 1,
+        ..settings()
+    }
+}
+
+fn endpoint_list(kind: EndpointUpdateKind, servers: std::ops::Range<u32>) -> Event {
+    Event::EndpointList(kind, servers.map(endpoint).collect())
+}
+
+fn pending() -> Event {
+    Event::EndpointList(EndpointUpdateKind::Pending, Vec::new())
+}
+
+fn unchanged() -> Event {
+    Event::EndpointList(EndpointUpdateKind::Delta, Vec::new())
+}
+
+fn joined(has_previous_table: bool) -> Event {
+    proxy_joined_with(PROXY, has_previous_table)
+}
+
+fn proxy_joined_with(proxy: ProxyId, has_previous_table: bool) -> Event {
+    Event::ProxyJoined {
+        proxy,
+        zone: ZoneId(0),
+        request_rate: 10.0,
+        has_previous_table,
+    }
+}
+
+fn demand(arrivals: f64, failed: f64) -> Event {
+    Event::ProxyDemand {
+        proxy: PROXY,
+        class: ClassId(0),
+        arrivals,
+        failed,
+        period: ms(1000),
+    }
+}
+
+fn assigns(actions: &[Action]) -> bool {
+    let is_assignment = |action: &Action| matches!(action, Action::AssignTable { .. });
+    actions.iter().any(is_assignment)
+}
+
+fn reconciles(actions: &[Action]) -> bool {
+    actions.contains(&Action::Reconcile(PROXY))
+}
+
+/// An instance after a restart, with the time of its last events.
+struct Restarted {
+    policy: Policy,
+    now: Micros,
+}
+
+impl Restarted {
+    /// Starts while discovery has yet to answer, with a cached list of this many servers.
+    fn new(settings: Settings, servers: u32) -> Self {
+        let mut restarted = Restarted {
+            policy: Policy::new(settings, 1),
+            now: ms(0),
+        };
+        restarted.send(&[
+            pending(),
+            endpoint_list(EndpointUpdateKind::CachedSnapshot, 0..servers),
+        ]);
+        restarted
+    }
+
+    fn send(&mut self, events: &[Event]) -> Vec<Action> {
+        self.now = self.now + ms(10);
+        self.policy.handle_events(self.now, events)
+    }
+
+    /// Ticks for some seconds. The proxy acknowledges all orders.
+    fn run(&mut self, seconds: i64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for _ in 0..2 * seconds {
+            self.now = self.now + ms(480);
+            let ordered = self.send(&[Event::Timer(TICK_TIMER)]);
+            if let Some(sequence) = requested_sequence(&ordered) {
+                self.send(&[Event::Acknowledged {
+                    proxy: PROXY,
+                    sequence,
+                    elapsed: ms(10),
+                }]);
+            }
+            actions.extend(ordered);
+        }
+        actions
+    }
+}
+
+/// Guards against requests to servers that have left: a list of an earlier start has them in service, and the tables and
+/// suspensions that the proxy brought are more recent (`docs/incidents/review-5-restart-without-discovery.md`).
+#[test]
+fn a_proxy_keeps_what_it_brought_until_discovery_has_answered() {
+    for answer in [
+        unchanged(),
+        endpoint_list(EndpointUpdateKind::Snapshot, 2..8),
+    ] {
+        let mut restarted = Restarted::new(one_proxy(), SERVERS);
+        let mut actions = restarted.send(&[joined(true)]);
+        actions.extend(restarted.run(30));
+        assert!(!assigns(&actions) && !reconciles(&actions));
+        let mut actions = restarted.send(&[answer]);
+        assert!(assigns(&actions), "at once");
+        actions.extend(restarted.run(5));
+        assert!(reconciles(&actions));
+    }
+}
+
+/// The endpoints on request are requested at the start, and the answer may be late or a failure.
+#[test]
+fn an_instance_that_requests_the_list_waits_for_the_answer() {
+    let on_request = Settings {
+        endpoints_on_request: true,
+        ..one_proxy()
+    };
+    let mut restarted = Restarted {
+        policy: Policy::new(on_request, 1),
+        now: ms(0),
+    };
+    restarted.send(&[endpoint_list(
+        EndpointUpdateKind::CachedSnapshot,
+        0..SERVERS,
+    )]);
+    let mut actions = restarted.send(&[joined(true)]);
+    let failure = Event::EndpointList(EndpointUpdateKind::Unavailable, Vec::new());
+    actions.extend(restarted.send(&[failure]));
+    actions.extend(restarted.run(10));
+    assert!(!assigns(&actions) && !reconciles(&actions));
+    assert!(assigns(&restarted.send(&[unchanged()])));
+}
+
+/// A proxy without ordered tables has none to keep, and needs some.
+#[test]
+fn a_new_proxy_gets_the_cached_servers_before_discovery_has_answered() {
+    let mut restarted = Restarted::new(one_proxy(), SERVERS);
+    assert!(assigns(&restarted.send(&[joined(false)])));
+}
+
+/// An empty table would leave the proxy without a server, whatever it holds.
+#[test]
+fn no_proxy_gets_an_empty_table_before_discovery_has_answered() {
+    for has_previous_table in [false, true] {
+        let mut restarted = Restarted::new(one_proxy(), 0);
+        let mut actions = restarted.send(&[joined(has_previous_table)]);
+        actions.extend(restarted.run(30));
+        assert!(!assigns(&actions));
+        let list = endpoint_list(EndpointUpdateKind::Snapshot, 0..SERVERS);
+        assert!(assigns(&restarted.send(&[list])), "at once");
+    }
+}
+
+/// A proxy whose servers have all left while no supervisor could tell it has nothing to lose.
+#[test]
+fn a_proxy_that_serves_nothing_gets_the_cached_servers_but_no_suspension_ends() {
+    let mut restarted = Restarted::new(one_proxy(), SERVERS);
+    restarted.send(&[joined(true)]);
+    restarted.send(&[demand(4.0, 4.0)]);
+    assert!(!assigns(&restarted.run(1)), "one report may be chance");
+    restarted.send(&[demand(4.0, 1.0)]);
+    restarted.send(&[demand(4.0, 4.0)]);
+    assert!(!assigns(&restarted.run(1)), "it served in between");
+    restarted.send(&[demand(4.0, 4.0)]);
+    let actions = restarted.run(10);
+    assert!(assigns(&actions));
+    assert!(!reconciles(&actions));
+    restarted.send(&[unchanged()]);
+    assert!(reconciles(&restarted.run(5)));
+}
+
+/// While discovery is silent, another supervisor may have been notified of servers that left.
+#[test]
+fn suspensions_of_another_instance_stay_while_discovery_is_silent() {
+    let mut restarted = Restarted::new(one_proxy(), SERVERS);
+    restarted.send(&[unchanged()]);
+    restarted.send(&[pending()]);
+    let mut actions = restarted.send(&[joined(true)]);
+    assert!(assigns(&actions), "the list is that of this start");
+    actions.extend(restarted.run(10));
+    assert!(!reconciles(&actions));
+    restarted.send(&[unchanged()]);
+    assert!(reconciles(&restarted.run(5)));
+}
--- a/crates/supervisor/src/peers/discovery.rs
+++ b/crates/supervisor/src/peers/discovery.rs
@@ -70,6 +70,13 @@
     /// Whether the last watch reached its idle timeout. The complete list is then fetched once: with several such watches in
     /// a row, changes would arrive later than the rules allow.
     watch_timed_out: bool,
+    /// Whether the engine was notified that an answer is outstanding. It was when the client is created.
+    is_answer_pending: bool,
+}
+
+/// Returns the report that discovery has yet to answer.
+pub fn discovery_pending() -> Report {
+    Report::EndpointList(EndpointUpdateKind::Pending, Vec::new())
 }
 
 impl DiscoveryClient {
@@ -89,6 +96,7 @@
             is_unavailable: false,
             needs_snapshot: false,
             watch_timed_out: false,
+            is_answer_pending: true,
         }
     }
 
@@ -221,7 +229,7 @@
                 _ = subscription.changed() => return Ok(()),
             };
             if line.is_empty() {
-                self.cache.clear_version_if_restarted();
+                self.handle_heartbeat();
             } else {
                 self.handle_delivery(&line)?;
             }
@@ -230,6 +238,22 @@
         Ok(())
     }
 
+    /// Handles an empty line of a watch: nothing has changed since the cached version.
+    fn handle_heartbeat(&mut self) {
+        let has_restarted = self.cache.clear_version_if_restarted();
+        if self.is_answer_pending && !has_restarted && !self.cache.is_stale() {
+            let unchanged = Report::EndpointList(EndpointUpdateKind::Delta, Vec::new());
+            self.context.engine.report(unchanged);
+            self.is_answer_pending = false;
+        }
+    }
+
+    /// Notifies the engine that an answer is outstanding.
+    fn report_pending(&mut self) {
+        self.context.engine.report(discovery_pending());
+        self.is_answer_pending = true;
+    }
+
     /// Resets the backoff, and logs the recovery if discovery was unavailable.
     fn mark_available(&mut self) {
         self.backoff = MIN_BACKOFF;
@@ -244,6 +268,7 @@
     fn mark_unavailable(&mut self, reason: DisconnectReason) {
         let was_unavailable = std::mem::replace(&mut self.is_unavailable, true);
         if !was_unavailable {
+            self.report_pending();
             tracing::warn!(%reason, "discovery unavailable");
             self.record_availability(false, reason.code().to_string());
         }
@@ -266,13 +291,17 @@
         if self.cache.should_ignore(&delivery) {
             return Ok(());
         }
+        let was_pending = std::mem::take(&mut self.is_answer_pending);
         let applied = self.cache.apply(delivery);
         self.context.engine.report(applied.report);
-        if applied.needs_repeat {
-            Err(DisconnectReason::Malformed)
-        } else {
-            Ok(())
+        if !applied.needs_repeat {
+            return Ok(());
+        }
+        if was_pending {
+            // An endpoint that could not be decoded may be draining.
+            self.report_pending();
         }
+        Err(DisconnectReason::Malformed)
     }
 }
 
--- a/crates/supervisor/src/peers/discovery/endpoint_cache.rs
+++ b/crates/supervisor/src/peers/discovery/endpoint_cache.rs
@@ -58,6 +58,11 @@
         self.stale_since = None;
     }
 
+    /// Returns whether the last delivery was older than the cached version.
+    pub fn is_stale(&self) -> bool {
+        self.stale_since.is_some()
+    }
+
     /// Returns whether a delivery has to be ignored because it is older than the cached version. An agent that lags behind,
     /// perhaps one at a new address, could report a draining server as in service. Once the version count has restarted, a
     /// snapshot is not ignored.
--- a/crates/supervisor/src/server/startup.rs
+++ b/crates/supervisor/src/server/startup.rs
@@ -15,6 +15,7 @@
 use tokio::task::{AbortHandle, LocalSet};
 
 use crate::config::{self, Config, LoadedConfig};
+use crate::peers::discovery::discovery_pending;
 use crate::peers::listener;
 use crate::server::errors::{OperatorConfigErrors, ServerError};
 use crate::server::handles::SharedHandles;
@@ -143,6 +144,8 @@
         parameters.report_period,
     );
     record_start(&handles, listen);
+    // Reported before the first proxy can join: until discovery answers, proxies hold more recent tables.
+    handles.engine.report(discovery_pending());
     if let Some(cached) = &config.cached_endpoints {
         handles.engine.report(cached.to_report());
     }
--- a/crates/supervisor/tests/crossings/discovery.rs
+++ b/crates/supervisor/tests/crossings/discovery.rs
@@ -14,6 +14,8 @@
 /// The first part of a delivery.
 const PARTIAL_DELIVERY: &str =
     r#"{"index":42,"snapshot":false,"endpoints":[{"name":"s-1","status":"draining""#;
+/// Time for which discovery takes connections and says nothing: several requests time out.
+const OUTAGE: Duration = Duration::from_millis(4000);
 /// Slightly more than the time for which a list with an older version is ignored.
 const STALE_TIMEOUT: Duration = Duration::from_millis(6100);
 
@@ -290,3 +292,44 @@
     };
     assert!(weight_of("s-1") < weight_of("s-2"), "it warms up");
 }
+
+/// Guards against resuming servers that have left: the configuration of the restart still lists them in service, and
+/// discovery says nothing at first (`docs/incidents/review-5-restart-without-discovery.md`).
+#[tokio::test]
+async fn a_restart_resumes_no_server_that_left_before_discovery_has_answered() {
+    let ScriptedFleet {
+        script,
+        servers,
+        supervisor,
+        ..
+    } = ScriptedFleet::start().await;
+    let mut proxy = Proxy::join(&supervisor, 0, false).await;
+    proxy.tables.suspended.insert("s-2".to_string());
+    proxy.apply_for(OUTAGE).await;
+    assert_eq!(proxy.messages, 0, "it keeps what it brought");
+
+    let mut watch = script.expect_open_request(WATCH_PATH).await;
+    watch.begin_watch().await;
+    let replaced = [
+        entry("s-2", servers[1].address, "removed", 0),
+        entry("s-4", servers[1].address, "up", 0),
+    ];
+    watch.send_watch_line(&delivery(42, false, &replaced)).await;
+    applies_picks(&mut proxy, &["s-1", "s-3", "s-4"]).await;
+    assert!(proxy.suspended.contains("s-2"));
+}
+
+/// The list of the earlier start may be current. Discovery then has nothing to deliver, and its heartbeat is the answer.
+#[tokio::test]
+async fn a_heartbeat_confirms_the_list_of_an_earlier_start() {
+    let ScriptedFleet {
+        script, supervisor, ..
+    } = ScriptedFleet::start().await;
+    let mut proxy = Proxy::join(&supervisor, 0, false).await;
+    let mut watch = script.expect_request(WATCH_PATH).await;
+    watch.begin_watch().await;
+    proxy.apply_for(Duration::from_millis(700)).await;
+    assert_eq!(proxy.messages, 0, "the head of the answer confirms nothing");
+    watch.send_watch_line("").await;
+    applies_picks(&mut proxy, &["s-1", "s-2", "s-3"]).await;
+}
