Divide the fleet into shards only once there is a list of servers

What callers would see: a supervisor without a cached list whose proxies join before discovery has answered keeps one table of all servers for its whole life, however large the fleet; joins then take longer than the drains' grace.

The number of shards is fixed once, by the servers known when half of the proxies have joined, and nothing told an empty list that discovery has yet to fill from a fleet without servers.

Change: while the first answer is outstanding and no server is listed, the fleet is not divided. Found by reading and shown by this test; not played on sockets.

--- a/crates/policy/src/decisions/sharding.rs
+++ b/crates/policy/src/decisions/sharding.rs
@@ -90,7 +90,7 @@
     /// Updates the number of shards and returns an event if the layout changed. The tables of a new layout have new
     /// numbers; they take no lines of the channel until a proxy uses them.
     pub fn update(&mut self, inputs: &ShardingInputs) -> Option<DecisionEvent> {
-        if !self.has_enough_proxies(inputs) {
+        if !self.can_form_shards(inputs) {
             return None;
         }
         let size = inputs.fleet_size();
@@ -123,7 +123,15 @@
     }
 
     /// Returns whether shards can be formed: initially when at least half of this instance's share of the proxies
-    /// joined, or at the first tick with a joined proxy.
+    /// joined, or at the first tick with a joined proxy. Their number follows from that of the servers, so that an empty
+    /// list that discovery has yet to fill must not determine it.
+    fn can_form_shards(&self, inputs: &ShardingInputs) -> bool {
+        let registry = inputs.registry;
+        let has_servers = registry.in_service().next().is_some();
+        let is_list_expected = registry.awaits_first_answer() && !has_servers;
+        !is_list_expected && self.has_enough_proxies(inputs)
+    }
+
     fn has_enough_proxies(&self, inputs: &ShardingInputs) -> bool {
         let joined = inputs.proxies.len() as f64;
         let settings = inputs.settings;
--- a/crates/policy/tests/discovery_outage.rs
+++ b/crates/policy/tests/discovery_outage.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use chutegrade_policy::*;
+use common::large_fleet::sparse_settings;
 use common::*;
 
 const SERVERS: u32 = 6;
@@ -200,3 +201,32 @@
     restarted.send(&[unchanged()]);
     assert!(reconciles(&restarted.run(5)));
 }
+
+/// Returns the numbers of shards into which a large sparse fleet is divided, one after the other.
+fn shards_of_large_fleet(first_list: &[Event], answer: &Event) -> Vec<usize> {
+    let settings = sparse_settings();
+    let proxies = settings.proxies as u32;
+    let mut policy = Policy::new(settings, 1);
+    let joins: Vec<Event> = (0..proxies)
+        .map(|id| proxy_joined_with(ProxyId(id), true))
+        .collect();
+    let mut actions = policy.handle_events(ms(0), first_list);
+    actions.extend(policy.handle_events(ms(10), &joins));
+    actions.extend(policy.handle_events(ms(500), &[Event::Timer(TICK_TIMER)]));
+    actions.extend(policy.handle_events(ms(600), std::slice::from_ref(answer)));
+    let shards = |action: &Action| match action {
+        Action::Emit(DecisionEvent::Resharded { shards, .. }) => Some(*shards),
+        _ => None,
+    };
+    actions.iter().filter_map(shards).collect()
+}
+
+/// Proxies that join before there is a list must not fix the width of the tables for all servers that follow.
+#[test]
+fn the_layout_of_tables_waits_for_the_list() {
+    let list = endpoint_list(EndpointUpdateKind::Snapshot, 0..100);
+    let with_known_list = shards_of_large_fleet(&[pending(), list.clone()], &unchanged());
+    assert!(with_known_list[0] > 1, "{with_known_list:?}");
+    let with_late_list = shards_of_large_fleet(&[pending()], &list);
+    assert_eq!(with_late_list, with_known_list);
+}
