Ask a proxy for an acknowledgement before its stream counts as dead

Cause: a stream was ended on the absence of one message, with no question to its proxy. An answer to a mark that cannot be decoded was skipped, in a quiet fleet no later order asked again, and 10 s after the order the stream ended. Evidence: proxy 13's order at 8.825 and its spoilt answer at 9.474, the end at 19.526. For the same cause a proxy whose requests cease lost its stream although it lives.

Change: half of the timeout after the last sign of life the decisions send a message with a mark alone (CheckLiveness, budget of ordinary orders). The stream ends at the same timeout as before, but only if that question was not answered. An answer that cannot be decoded confirms no order but restarts the timeout, and any message ends the silence. It works because a proxy that lives answers, and one that applies no orders does not.

Tests: unreadable_acknowledgements_do_not_end_a_working_stream and a_proxy_whose_requests_cease_keeps_its_stream failed on the code before.

--- a/crates/adapter/src/codec/encode_action.rs
+++ b/crates/adapter/src/codec/encode_action.rs
@@ -50,9 +50,9 @@
         Action::FetchEndpoints => Ok("list_all".to_string()),
         Action::SetTimer { id, delay } => Ok(set_timer(*id, *delay)),
         Action::SendToPeer { peer, data } => Ok(send_to_peer(*peer, data)),
-        Action::DropServerState(_) | Action::Reconcile(_) => Err(CodecError::UnencodableAction(
-            format!("the protocol has no line for {action:?}"),
-        )),
+        Action::DropServerState(_) | Action::Reconcile(_) | Action::CheckLiveness(_) => Err(
+            CodecError::UnencodableAction(format!("the protocol has no line for {action:?}")),
+        ),
         Action::Emit(event) => Ok(emit(event)),
     }
 }
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -203,10 +203,14 @@
     }
 }
 
-/// Whether the wire protocol has a line for an action. On the wire, servers remain known and proxies have no earlier
-/// suspensions, so it has neither [`Action::DropServerState`] nor [`Action::Reconcile`].
+/// Whether the wire protocol has a line for an action. On the wire, servers remain known, proxies have no earlier
+/// suspensions and streams are not checked, so it has no [`Action::DropServerState`], [`Action::Reconcile`] or
+/// [`Action::CheckLiveness`].
 fn is_encodable(action: &Action) -> bool {
-    !matches!(action, Action::DropServerState(_) | Action::Reconcile(_))
+    !matches!(
+        action,
+        Action::DropServerState(_) | Action::Reconcile(_) | Action::CheckLiveness(_)
+    )
 }
 
 fn write_action(action: &Action, reply: &mut String) {
--- a/crates/engine/src/engine/actions.rs
+++ b/crates/engine/src/engine/actions.rs
@@ -64,6 +64,7 @@
                 retry,
             } => self.set_admission(now, table, classes, AdmissionLevel { level, retry }),
             Action::Reconcile(proxy) => self.reconcile(proxy, batch),
+            Action::CheckLiveness(proxy) => self.streams.require_message(proxy),
             Action::RequestAcknowledgement {
                 sequence,
                 all_proxies,
--- a/crates/engine/src/engine/report_handling.rs
+++ b/crates/engine/src/engine/report_handling.rs
@@ -92,6 +92,11 @@
                 sequence,
                 elapsed,
             } => self.acknowledged(stream, sequence, elapsed),
+            Report::LivenessCheckDue(stream) => {
+                let proxy = self.streams.proxy(stream);
+                let proxy = proxy.ok_or(ReportError::StreamReplaced)?;
+                Ok(Event::LivenessCheckDue(proxy))
+            }
             Report::Advice(advice) => Ok(Event::Advice(self.resolve_advice(&advice))),
             Report::Limits(limits) => Ok(Event::Limits(self.resolve_limits(&limits))),
             Report::HealthChecked {
--- a/crates/engine/src/engine/tests/orders.rs
+++ b/crates/engine/src/engine/tests/orders.rs
@@ -154,3 +154,41 @@
     let order = engine.take_order(StreamId(1)).expect("an order");
     assert_eq!(order.updates[0].weights, [ServerWeight::new("s2", 1.0)]);
 }
+
+/// A check has no other change, and reaches the one proxy alone.
+#[test]
+fn a_liveness_check_is_an_acknowledgement_request_alone() {
+    let mut engine = engine_with_servers();
+    for proxy in 0..2 {
+        let opened = stream_opened(u64::from(proxy) + 1, proxy, true);
+        assert_eq!(engine.report(opened), Ok(()));
+    }
+    engine.tick(Micros(10));
+    while engine.take_order(StreamId(1)).is_some() {}
+    while engine.take_order(StreamId(2)).is_some() {}
+    let actions = vec![
+        Action::CheckLiveness(ProxyId(0)),
+        Action::RequestAcknowledgement {
+            sequence: 9,
+            all_proxies: false,
+        },
+    ];
+    engine.execute_actions(Micros(20), actions);
+    let check = Order {
+        acknowledge: Some(9),
+        ..Order::default()
+    };
+    assert_eq!(engine.take_order(StreamId(1)), Some(check));
+    assert_eq!(engine.take_order(StreamId(2)), None);
+}
+
+#[test]
+fn a_liveness_check_of_a_replaced_stream_is_rejected() {
+    let mut engine = engine_with_servers();
+    assert_eq!(engine.report(stream_opened(1, 0, true)), Ok(()));
+    assert_eq!(engine.report(stream_opened(2, 0, false)), Ok(()));
+    assert_eq!(
+        engine.report(Report::LivenessCheckDue(StreamId(1))),
+        Err(ReportError::StreamReplaced)
+    );
+}
--- a/crates/engine/src/pending_order.rs
+++ b/crates/engine/src/pending_order.rs
@@ -88,6 +88,11 @@
         self.suspensions.insert(server, suspended);
     }
 
+    /// Counts as changed, so that the acknowledgement request of the current batch includes the proxy.
+    pub fn require_message(&mut self) {
+        self.changed_in_batch = true;
+    }
+
     /// Requests an acknowledgement with this sequence number.
     pub fn request_acknowledgement(&mut self, sequence: u16) {
         self.acknowledge = Some(sequence);
--- a/crates/engine/src/report.rs
+++ b/crates/engine/src/report.rs
@@ -68,6 +68,8 @@
         /// Time from the order to its effect.
         elapsed: Micros,
     },
+    /// A stream may be dead: its proxy should be asked for an acknowledgement.
+    LivenessCheckDue(StreamId),
     /// Advice of the plug-ins; replaces all earlier advice.
     Advice(PluginAdvice),
     /// Limits set by the overload manager; replace all earlier limits.
--- a/crates/engine/src/streams.rs
+++ b/crates/engine/src/streams.rs
@@ -118,6 +118,14 @@
         }
     }
 
+    /// Sends a proxy a message at the end of the batch, whether or not anything changed.
+    pub fn require_message(&mut self, proxy: ProxyId) {
+        if let Some(joined) = self.proxies.get_mut(&proxy) {
+            joined.pending.require_message();
+            self.changed_in_batch.insert(proxy);
+        }
+    }
+
     /// Updates the admission level of some classes at the users of `table`, or at all proxies if that is `None`.
     pub fn set_admission(&mut self, table: Option<TableId>, classes: &[usize], tables: &Tables) {
         for class in classes {
--- a/crates/policy/src/decisions/events.rs
+++ b/crates/policy/src/decisions/events.rs
@@ -21,6 +21,7 @@
             Event::ProxyJoined { .. }
             | Event::ProxyLeft(_)
             | Event::StreamClosed(_)
+            | Event::LivenessCheckDue(_)
             | Event::Acknowledged { .. } => self.apply_proxy_event(now, event),
             Event::ProxyDemand {
                 proxy,
@@ -108,6 +109,11 @@
                 self.remove_proxy(now, *proxy);
             }
             Event::StreamClosed(proxy) => self.remove_proxy(now, *proxy),
+            Event::LivenessCheckDue(proxy) => {
+                if let Some(proxy) = self.proxies.get_mut(*proxy) {
+                    proxy.is_check_due = true;
+                }
+            }
             Event::Acknowledged {
                 proxy,
                 sequence,
--- a/crates/policy/src/decisions/mod.rs
+++ b/crates/policy/src/decisions/mod.rs
@@ -16,6 +16,7 @@
 mod health;
 mod health_checks;
 mod limits;
+mod liveness_checks;
 mod orders;
 mod proxies;
 mod publication;
--- a/crates/policy/src/decisions/proxies.rs
+++ b/crates/policy/src/decisions/proxies.rs
@@ -36,6 +36,8 @@
     pub has_previous_table: bool,
     /// Whether it is assigned to tables of the current layout.
     pub is_assigned: bool,
+    /// Whether it should get a message to acknowledge, because its stream may be dead.
+    pub is_check_due: bool,
     /// The shard that it is assigned to.
     pub shard: usize,
     /// Its tables, of the current or of an earlier layout.
--- a/crates/policy/src/decisions/publish.rs
+++ b/crates/policy/src/decisions/publish.rs
@@ -9,6 +9,7 @@
 use super::assignment::Assignment;
 use super::class_levels::ClassLevels;
 use super::desired_tables::DesiredTables;
+use super::liveness_checks::send_liveness_checks;
 use super::orders::Orders;
 use super::publication::{update_interval_seconds, Publisher, WeightChange};
 use super::registry::ByZone;
@@ -55,6 +56,7 @@
             self.publish_tables(&mut orders);
             self.assign_proxies(&mut orders);
         }
+        send_liveness_checks(&mut self.proxies, &mut orders);
         self.request_acknowledgement(now, &mut orders);
         actions.append(&mut orders.actions);
     }
--- a/crates/policy/src/interface/actions.rs
+++ b/crates/policy/src/interface/actions.rs
@@ -60,6 +60,8 @@
         /// Whether to request it from all joined proxies.
         all_proxies: bool,
     },
+    /// Sends a joined proxy a message in any case, so that the acknowledgement request reaches it.
+    CheckLiveness(ProxyId),
     /// Starts a health check of a server.
     HealthCheck(ServerId),
     /// Subscribes to changes of the endpoint list, or unsubscribes.
--- a/crates/policy/src/interface/events.rs
+++ b/crates/policy/src/interface/events.rs
@@ -127,6 +127,8 @@
         /// Time from the order to its effect.
         elapsed: Micros,
     },
+    /// A proxy's stream may be dead: an acknowledgement is late, or nothing arrived for a while.
+    LivenessCheckDue(ProxyId),
     /// The result of a health check.
     HealthChecked {
         /// The server that was checked.
--- a/crates/supervisor/src/peers/proxy_stream.rs
+++ b/crates/supervisor/src/peers/proxy_stream.rs
@@ -150,37 +150,41 @@
     ) -> Result<Infallible, Disconnect> {
         let mut malformed = MalformedCounter::new(self.context.engine.clone());
         loop {
-            let received = timeout(self.context.idle_timeout, reader.next_message()).await;
+            let wait = self.liveness.until_next_check(self.context.clock.now());
+            let received = timeout(wait, reader.next_message()).await;
             let now = self.context.clock.now();
             let Ok(received) = received else {
-                self.check_demand(now)?;
-                self.check_acknowledgement(now)?;
+                self.check_liveness(now)?;
                 continue;
             };
-            let is_acknowledgement = matches!(received, Ok(Message::Acknowledgement { .. }));
-            if !is_acknowledgement {
+            let message = received?;
+            self.liveness.record_message(now);
+            if message.is_acknowledgement() {
+                self.liveness.record_answer(now);
+            } else {
                 // Other messages do not reset the timeout: a proxy that reports but applies no order would keep old tables.
-                self.check_acknowledgement(now)?;
+                self.check_liveness(now)?;
             }
-            let handled = self.handle_message(received?);
+            let handled = self.handle_message(message);
             malformed.record_result(handled)?;
         }
     }
 
-    /// Closes a stream on which a demand report is overdue.
-    fn check_demand(&self, now: Micros) -> Result<(), Disconnect> {
-        if self.liveness.is_demand_overdue(now) {
+    /// Closes a stream on which a message is overdue, and requests a check of one on which it is late.
+    fn check_liveness(&self, now: Micros) -> Result<(), Disconnect> {
+        let queue_delay = || self.context.engine.borrow_mut().fleet_status().queue_delay;
+        if self.liveness.is_silent(now) {
             return Err(DisconnectReason::IdleTimeout.with_detail("no demand reports"));
         }
-        Ok(())
-    }
-
-    /// Closes a stream on which an acknowledgement is overdue.
-    fn check_acknowledgement(&self, now: Micros) -> Result<(), Disconnect> {
-        let queue_delay = || self.context.engine.borrow_mut().fleet_status().queue_delay;
         if self.liveness.is_acknowledgement_overdue(now, queue_delay) {
             return Err(DisconnectReason::IdleTimeout.with_detail("no acknowledgement"));
         }
+        if self.liveness.is_check_due(now, queue_delay) {
+            self.liveness.record_check(now);
+            self.context
+                .engine
+                .report(Report::LivenessCheckDue(self.id));
+        }
         Ok(())
     }
 
@@ -191,8 +195,7 @@
                 sequence,
                 elapsed,
             } if proxy == self.proxy => {
-                let now = self.context.clock.now();
-                self.liveness.record_acknowledgement(sequence, now);
+                self.liveness.record_acknowledgement(sequence);
                 self.context.engine.report(Report::Acknowledged {
                     stream: self.id,
                     sequence,
--- a/crates/supervisor/src/protocol/decode.rs
+++ b/crates/supervisor/src/protocol/decode.rs
@@ -5,6 +5,9 @@
 use crate::protocol::fields::Fields;
 use crate::protocol::malformed::MalformedMessage;
 
+/// The kind of acknowledgements.
+const ACKNOWLEDGEMENT: &str = "ack";
+
 /// The first message of a proxy: `hello`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ProxyHello {
@@ -48,6 +51,17 @@
     Malformed(MalformedMessage),
 }
 
+impl Message {
+    /// Returns whether the message is an acknowledgement, even if it cannot be decoded.
+    pub fn is_acknowledgement(&self) -> bool {
+        match self {
+            Message::Acknowledgement { .. } => true,
+            Message::Malformed(malformed) => malformed.message_kind() == Some(ACKNOWLEDGEMENT),
+            _ => false,
+        }
+    }
+}
+
 /// Decodes a line without its line end. A message of a known kind that cannot be decoded is [`Message::Malformed`].
 ///
 /// # Errors
@@ -65,7 +79,7 @@
         "hello" => decode_proxy_hello(&Fields::new("hello", line)),
         "outcomes" => decode_server_outcomes(&Fields::new("outcomes", line)),
         "demand" => decode_proxy_demand(&Fields::new("demand", line)),
-        "ack" => decode_acknowledgement(&Fields::new("ack", line)),
+        ACKNOWLEDGEMENT => decode_acknowledgement(&Fields::new(ACKNOWLEDGEMENT, line)),
         _ => Ok(Message::Unknown),
     };
     Ok(decoded.unwrap_or_else(Message::Malformed))
--- a/crates/supervisor/src/protocol/malformed.rs
+++ b/crates/supervisor/src/protocol/malformed.rs
@@ -32,6 +32,17 @@
     EndpointList(String),
 }
 
+impl MalformedMessage {
+    /// Returns the kind of the message, if a field of it could not be decoded.
+    pub fn message_kind(&self) -> Option<&'static str> {
+        match self {
+            MalformedMessage::MissingField { message, .. }
+            | MalformedMessage::InvalidField { message, .. } => Some(message),
+            _ => None,
+        }
+    }
+}
+
 /// Number of consecutive malformed messages at which a connection is closed. At worst half of the messages of a working
 /// peer are malformed; such a sequence then occurs once in millions.
 const MAX_CONSECUTIVE_ERRORS: u32 = 24;
--- a/crates/supervisor/tests/crossings/streams.rs
+++ b/crates/supervisor/tests/crossings/streams.rs
@@ -1,14 +1,17 @@
 //! Streams of a proxy that race with orders, acknowledgements and one another.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use chutegrade_emulators::{config, until, wait_for, Peer};
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::common::{fleet, has_all, joined, program, serving};
 use crate::{applies_picks, next_line, sequence_number};
 
+/// Slightly more than twice the idle timeout of a stream.
+const TWO_IDLE_TIMEOUTS: Duration = Duration::from_secs(11);
+
 /// A proxy that reports demand but applies no orders would otherwise keep its old tables and removed servers forever.
 #[tokio::test]
 async fn demand_reports_do_not_replace_acknowledgements() {
@@ -159,3 +162,49 @@
         );
     }
 }
+
+/// Guards against the end of a working stream whose acknowledgements arrive spoilt: drains would reach its proxy only after
+/// it has joined again (`docs/incidents/review-6-spoilt-answers-end-streams.md`).
+#[tokio::test]
+async fn unreadable_acknowledgements_do_not_end_a_working_stream() {
+    let (discovery, servers, supervisor) = serving().await;
+    let mut peer = Peer::connect(supervisor.address).await;
+    peer.send("hello id=0 site=a rps=20.0 new=1").await;
+    let spoilt_answers = [
+        "ack id=0 seq=1",
+        "ack id=0 ms=12.5",
+        "ack id=0 seq=70000 ms=12.5",
+        "ack id=0 seq=1 ms=soon",
+        "ack id=99 seq=1 ms=12.5",
+    ];
+    let mut answers = spoilt_answers.iter().cycle();
+    let mut checks = 0;
+    let end = Instant::now() + TWO_IDLE_TIMEOUTS;
+    while Instant::now() < end {
+        peer.send("demand id=0 lane=lookup count=4 fail=0 over=200.0")
+            .await;
+        if let Ok(line) = timeout(Duration::from_millis(200), peer.line()).await {
+            let line = line.expect("the stream stays open");
+            if line.contains("stamp=") {
+                peer.send(answers.next().expect("a cycle")).await;
+            }
+            checks += usize::from(line.starts_with("push stamp="));
+        }
+    }
+    assert!(checks >= 2, "{checks}");
+    discovery.set("s-2", servers[1].address, "draining");
+    while !next_line(&mut peer).await.contains("drop=s-2") {}
+    assert_eq!(supervisor.count_log_lines(&["0@a", "connection ended"]), 0);
+}
+
+/// A proxy that has no requests any more reports none; it is alive as long as it acknowledges.
+#[tokio::test]
+async fn a_proxy_whose_requests_cease_keeps_its_stream() {
+    let (discovery, servers, supervisor) = serving().await;
+    let mut proxy = joined(&supervisor, 0).await;
+    proxy.report_demand().await;
+    proxy.apply_for(TWO_IDLE_TIMEOUTS).await;
+    discovery.set("s-2", servers[1].address, "draining");
+    applies_picks(&mut proxy, &["s-1", "s-3"]).await;
+    assert_eq!(supervisor.count_log_lines(&["0@a", "connection ended"]), 0);
+}
