Start the first watch one version early, so that discovery answers at once

What callers would see: since proxies keep their tables until discovery has answered, a restart with a list that is current held their first tables back until the heartbeat of the watch, which comes after 2 s. Drains that the list names count from the joining; beside a burst of joins they would miss their grace.

Cause: a watch from the cached version is silent until something changes.

Change: until discovery has answered in this start, the watch begins one version before the cached one. The protocol has the first line hold what changed after the named version, so that it comes at once, and what it repeats changes nothing. A fetch of the whole list would do as well, but opens a further connection at each start.

Tests: the path of a scripted fleet's first watch is from=40 instead of from=41; the tests assert it as exactly as before. That of a confirmed version stays from=41 (a_heartbeat_confirms_the_list_of_an_earlier_start).

--- a/crates/supervisor/src/peers/discovery.rs
+++ b/crates/supervisor/src/peers/discovery.rs
@@ -215,7 +215,7 @@
         &mut self,
         subscription: &mut watch::Receiver<DiscoverySubscription>,
     ) -> Result<(), DisconnectReason> {
-        let Some(version) = self.cache.version() else {
+        let Some(version) = self.cache.watch_version() else {
             return self.fetch().await;
         };
         let path = format!("/api/targets?watch=1&from={version}");
@@ -242,6 +242,7 @@
     fn handle_heartbeat(&mut self) {
         let has_restarted = self.cache.clear_version_if_restarted();
         if self.is_answer_pending && !has_restarted && !self.cache.is_stale() {
+            self.cache.confirm_version();
             let unchanged = Report::EndpointList(EndpointUpdateKind::Delta, Vec::new());
             self.context.engine.report(unchanged);
             self.is_answer_pending = false;
--- a/crates/supervisor/src/peers/discovery/endpoint_cache.rs
+++ b/crates/supervisor/src/peers/discovery/endpoint_cache.rs
@@ -16,6 +16,8 @@
 /// The endpoint list that was last delivered.
 pub struct EndpointCache {
     version: Option<u64>,
+    /// Whether the version is that of an earlier run, and discovery has not delivered or confirmed any in this one.
+    is_unconfirmed: bool,
     /// Last delivered state of each listed server.
     endpoints: HashMap<String, NamedEndpoint>,
     /// Time of the first of the consecutive deliveries that are older than `version`.
@@ -39,6 +41,7 @@
         let endpoints = cached.map(|list| list.endpoints).unwrap_or_default();
         EndpointCache {
             version,
+            is_unconfirmed: true,
             endpoints: endpoints
                 .into_iter()
                 .map(|endpoint| (endpoint.name.clone(), endpoint))
@@ -48,11 +51,24 @@
         }
     }
 
-    /// Returns the version from which to watch changes; `None` if the complete list has to be requested.
+    /// Returns the version of the list; `None` if the complete list has to be requested.
     pub fn version(&self) -> Option<u64> {
         self.version
     }
 
+    /// Returns the version from which to watch changes; `None` if the complete list has to be requested. It is one below that
+    /// of an earlier run: a watch from the current version is silent until something changes, while one from before it is
+    /// answered at once, and what it repeats changes nothing.
+    pub fn watch_version(&self) -> Option<u64> {
+        let overlap = u64::from(self.is_unconfirmed);
+        self.version.map(|version| version.saturating_sub(overlap))
+    }
+
+    /// Records that discovery has confirmed the version of the list.
+    pub fn confirm_version(&mut self) {
+        self.is_unconfirmed = false;
+    }
+
     /// Resets the time since when deliveries are stale; called when another agent is used.
     pub fn reset_staleness(&mut self) {
         self.stale_since = None;
@@ -111,6 +127,7 @@
         if !needs_repeat {
             self.unreadable_deliveries = 0;
             self.version = Some(version);
+            self.confirm_version();
         }
         AppliedDelivery {
             report,
--- a/crates/supervisor/tests/crossings/discovery.rs
+++ b/crates/supervisor/tests/crossings/discovery.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::common::{joined, program, servers};
-use crate::{applies_picks, ScriptedFleet, LIST_PATH, WATCH_PATH};
+use crate::{applies_picks, ScriptedFleet, CONFIRMED_WATCH_PATH, LIST_PATH, WATCH_PATH};
 
 /// The first part of a delivery.
 const PARTIAL_DELIVERY: &str =
@@ -332,4 +332,6 @@
     assert_eq!(proxy.messages, 0, "the head of the answer confirms nothing");
     watch.send_watch_line("").await;
     applies_picks(&mut proxy, &["s-1", "s-2", "s-3"]).await;
+    drop(watch);
+    script.expect_request(CONFIRMED_WATCH_PATH).await;
 }
--- a/crates/supervisor/tests/crossings/main.rs
+++ b/crates/supervisor/tests/crossings/main.rs
@@ -17,8 +17,11 @@
 
 use common::{program, servers};
 
-/// Path of a watch from the cached version of a scripted fleet.
-const WATCH_PATH: &str = "/api/targets?watch=1&from=41";
+/// Path of the watch of a scripted fleet until discovery has answered: from one version before the cached one, which is
+/// answered at once.
+const WATCH_PATH: &str = "/api/targets?watch=1&from=40";
+/// Path of its watch once the cached version is confirmed.
+const CONFIRMED_WATCH_PATH: &str = "/api/targets?watch=1&from=41";
 /// Path of the complete list.
 const LIST_PATH: &str = "/api/targets";
 
