--- a/crates/policy/tests/discovery_outage.rs
+++ b/crates/policy/tests/discovery_outage.rs
@@ -5,6 +5,7 @@
 use chutegrade_policy::*;
 use common::large_fleet::sparse_settings;
 use common::*;
+use proptest::prelude::*;
 
 const SERVERS: u32 = 6;
 const PROXY: ProxyId = ProxyId(0);
@@ -230,3 +231,92 @@
     let with_late_list = shards_of_large_fleet(&[pending()], &list);
     assert_eq!(with_late_list, with_known_list);
 }
+
+/// Something that happens to a restarted instance.
+#[derive(Clone, Debug)]
+enum Step {
+    Pending,
+    Unchanged,
+    Listed(u32),
+    Joined { has_previous_table: bool },
+    Left,
+    Reported { failed: f64 },
+    Ticked,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        Just(Step::Pending),
+        Just(Step::Unchanged),
+        (0..SERVERS).prop_map(Step::Listed),
+        any::<bool>().prop_map(|has_previous_table| Step::Joined { has_previous_table }),
+        Just(Step::Left),
+        (0..=4).prop_map(|failed| Step::Reported {
+            failed: f64::from(failed)
+        }),
+        Just(Step::Ticked),
+    ];
+    proptest::collection::vec(step, 1..60)
+}
+
+/// What the proxy may be ordered, by the steps so far.
+#[derive(Default)]
+struct Expected {
+    is_heard: bool,
+    is_answer_pending: bool,
+    has_previous_table: bool,
+    failed_reports: usize,
+}
+
+impl Expected {
+    fn observe(&mut self, step: &Step) {
+        match step {
+            Step::Pending => self.is_answer_pending = true,
+            Step::Unchanged | Step::Listed(_) => {
+                self.is_heard = true;
+                self.is_answer_pending = false;
+            }
+            Step::Joined { has_previous_table } => {
+                self.has_previous_table = *has_previous_table;
+                self.failed_reports = 0;
+            }
+            Step::Reported { failed } if *failed >= 4.0 => self.failed_reports += 1,
+            Step::Reported { .. } => self.failed_reports = 0,
+            Step::Left | Step::Ticked => {}
+        }
+    }
+
+    fn must_keep_tables(&self) -> bool {
+        self.has_previous_table && !self.is_heard && self.failed_reports < 2
+    }
+}
+
+proptest! {
+    /// In any order of joins, reports, answers and outages, an old list replaces and resumes nothing.
+    #[test]
+    fn an_old_list_replaces_and_resumes_nothing(steps in steps(), cached_servers in 0..=SERVERS) {
+        let mut restarted = Restarted::new(one_proxy(), cached_servers);
+        let mut expected = Expected {
+            is_answer_pending: true,
+            ..Expected::default()
+        };
+        for step in &steps {
+            expected.observe(step);
+            let actions = match step {
+                Step::Pending => restarted.send(&[pending()]),
+                Step::Unchanged => restarted.send(&[unchanged()]),
+                Step::Listed(servers) => {
+                    restarted.send(&[endpoint_list(EndpointUpdateKind::Snapshot, 0..*servers)])
+                }
+                Step::Joined { has_previous_table } => {
+                    restarted.send(&[Event::ProxyLeft(PROXY), joined(*has_previous_table)])
+                }
+                Step::Left => restarted.send(&[Event::ProxyLeft(PROXY)]),
+                Step::Reported { failed } => restarted.send(&[demand(4.0, *failed)]),
+                Step::Ticked => restarted.run(1),
+            };
+            prop_assert!(!(assigns(&actions) && expected.must_keep_tables()));
+            prop_assert!(!(reconciles(&actions) && expected.is_answer_pending));
+        }
+    }
+}
